--- a/walnutridge/choice.py
+++ b/tansyladder/choice.py
@@ -1,4 +1,4 @@
-"""All decisions of a walnutridge node. Types, events and actions: walnutridge/interface.py.
+"""All decisions of a tansyladder node. Types, events and actions: tansyladder/interface.py.
 
 The ordinary path is modified binary exponential back-off ("Exponential back-off, revisited"): a failed
 set-up raises n, the retry falls uniformly in 0..2^n slots, and the next timer starts where that interval
@@ -11,8 +11,8 @@
 from collections.abc import Callable, Sequence
 from random import Random
 
-from walnutridge import interface as api
-from walnutridge.interface import Effect, Group, ListKind, NoteKind, State, Status
+from tansyladder import interface as api
+from tansyladder.interface import Effect, Group, ListKind, NoteKind, State, Status
 
 SLOTS_PER_AIM = 8  # a slot is this part of the set-up aim: three failures in a row still fit the aim
 PROBED = 3  # servers asked before a placement: enough that one of them has room when most have
--- /dev/null
+++ b/tansyladder/net/__init__.py
@@ -0,0 +1,1 @@
+"""The real node: the decision module on sockets."""
--- a/walnutridge/simhost.py
+++ b/tansyladder/simhost.py
@@ -5,9 +5,9 @@
 import sys
 from typing import BinaryIO
 
-from walnutridge import interface as api
-from walnutridge import wire
-from walnutridge.choice import Balancer
+from tansyladder import interface as api
+from tansyladder import wire
+from tansyladder.choice import Balancer
 
 
 def run_batch(hosts: dict[int, Balancer], now: int, count: int, body: bytes) -> bytes:
@@ -56,7 +56,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except (wire.WireError, ValueError) as err:
-        print(f"walnutridge: {' '.join(str(err).split())}", file=sys.stderr)
+        print(f"tansyladder: {' '.join(str(err).split())}", file=sys.stderr)
         return 1
     return 0
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,8 +4,8 @@
 
 from typing import Any
 
-from walnutridge.choice import Balancer
-from walnutridge.interface import (
+from tansyladder.choice import Balancer
+from tansyladder.interface import (
     Action,
     ClassSettings,
     Event,
@@ -29,9 +29,8 @@
 
 def settings(**over: Any) -> Settings:
     cls = {k: over.pop(k) for k in ("effect", "group", "window", "worth", "aim", "deadline") if k in over}
-    one = ClassSettings(
-        **{"aim": AIM, "deadline": DEADLINE, "window": 5 * S, "message_aim": 150 * MS, **cls}
-    )
+    one_class: dict[str, Any] = {"aim": AIM, "deadline": DEADLINE, "window": 5 * S, "message_aim": 150 * MS}
+    one = ClassSettings(**{**one_class, **cls})
     base: dict[str, Any] = {
         "classes": (one,), "cold": 20 * S, "cold_from": 0.15, "fall_multiple": 3.0, "max_attempts": 5,
         "drain_grace": 1000 * MS, "retry_after": True, "max_retry_after": 10 * S,
--- a/tests/test_backoff.py
+++ b/tests/test_backoff.py
@@ -4,9 +4,9 @@
 
 from random import Random
 
+from tansyladder.choice import Backoff
+from tansyladder.interface import First, Outcome, Refuse, Send, Status
 from tests.helpers import DEADLINE, MS, START, Node, S, line, only_send
-from walnutridge.choice import Backoff
-from walnutridge.interface import First, Outcome, Refuse, Send, Status
 
 FLEET = [line(i) for i in range(1, 9)]
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -6,8 +6,7 @@
 from itertools import pairwise
 from typing import Any
 
-from tests.helpers import MS, START, Node, S, line, only_send
-from walnutridge.interface import (
+from tansyladder.interface import (
     First,
     Gone,
     ListKind,
@@ -24,6 +23,7 @@
     Status,
     Watch,
 )
+from tests.helpers import MS, START, Node, S, line, only_send
 
 REPORTS: dict[str, Any] = {"probes": True, "report_columns": ("active", "x0")}
 
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -5,8 +5,7 @@
 from collections import Counter
 from typing import Any
 
-from tests.helpers import MS, START, Node, S, line, only_send
-from walnutridge.interface import (
+from tansyladder.interface import (
     Action,
     First,
     Move,
@@ -20,6 +19,7 @@
     Send,
     Status,
 )
+from tests.helpers import MS, START, Node, S, line, only_send
 
 REPORTS: dict[str, Any] = {"probes": True, "report_columns": ("active", "x0")}
 
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -7,8 +7,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tests.helpers import DEADLINE, MS, Node, S, line
-from walnutridge.interface import (
+from tansyladder.interface import (
+    Action,
     Effect,
     Fail,
     First,
@@ -27,6 +27,7 @@
     State,
     Status,
 )
+from tests.helpers import DEADLINE, MS, Node, S, line
 
 EFFECTS = [
     (Effect.SAFE, Group.ALL),
@@ -61,7 +62,7 @@
         self.midflow: set[int] = set()
         self.told: dict[int, int] = {}  # when a server's present state was told
 
-    def check(self, actions: list[object]) -> None:
+    def check(self, actions: list[Action]) -> None:
         now = self.node.now
         for a in actions:
             if isinstance(a, Send):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,8 +4,7 @@
 
 import pytest
 
-from tests.helpers import DEADLINE, MS, START, Node, S, line, only_send
-from walnutridge.interface import (
+from tansyladder.interface import (
     Effect,
     Fail,
     First,
@@ -22,6 +21,7 @@
     State,
     Status,
 )
+from tests.helpers import DEADLINE, MS, START, Node, S, line, only_send
 
 FLEET = [line(i) for i in range(1, 9)]
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from walnutridge import interface as api
-from walnutridge import simhost, wire
+from tansyladder import interface as api
+from tansyladder import simhost, wire
 
 SETTINGS = "\n".join(
     [
@@ -135,7 +135,7 @@
 
 def play(data: bytes) -> tuple[int, bytes, str]:
     done = subprocess.run(
-        [sys.executable, "-m", "walnutridge.simhost"],
+        [sys.executable, "-m", "tansyladder.simhost"],
         input=data, capture_output=True, timeout=60, check=False,
     )  # fmt: skip
     return done.returncode, done.stdout, done.stderr.decode()
@@ -162,7 +162,7 @@
 def test_bad_input_ends_with_one_plain_line(data: bytes) -> None:
     code, _, err = play(data)
     assert code == 1
-    assert err.startswith("walnutridge: ")
+    assert err.startswith("tansyladder: ")
     assert err.count("\n") == 1
 
 
@@ -191,8 +191,8 @@
     """Each instance's action records, from one host of them all."""
     sink = io.BytesIO()
     simhost.serve(io.BytesIO(b"".join(stream(insts))), sink)
-    raw, at, found = sink.getvalue(), 0, {i: [] for i in insts}  # type: dict[int, list[bytes]]
-    raw = sink.getvalue()
+    raw, at = sink.getvalue(), 0
+    found: dict[int, list[bytes]] = {i: [] for i in insts}
     while at < len(raw):
         size = int.from_bytes(raw[at : at + 4], "big")
         at, end = at + 4, at + 4 + size
