--- /dev/null
+++ b/tansyladder/__main__.py
@@ -0,0 +1,50 @@
+"""The real node: start, signals, exit code."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+import threading
+
+from tansyladder import config
+from tansyladder.log import log
+from tansyladder.net.core import Core
+from tansyladder.net.discovery import Discovery
+from tansyladder.net.probe import Prober
+from tansyladder.net.virtual_server import VirtualServer
+
+STACK = 256 * 1024  # bytes of each thread; most of it is never touched
+SWITCH = 0.001  # seconds a busy thread may hold the interpreter while another one waits
+SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+def main() -> int:
+    """Run until a signal, then drain."""
+    try:
+        told = config.load(os.environ)
+    except config.ConfigError as err:
+        print(f"event=bad_config why={err}", file=sys.stderr)
+        return 2
+    threading.stack_size(STACK)
+    sys.setswitchinterval(SWITCH)
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # every thread inherits it; this one waits for them
+    threading.excepthook = lambda args: log("internal_error", why=repr(args.exc_value))
+    core = Core(told)
+    try:
+        front = VirtualServer(core)
+    except OSError as err:
+        print(f"event=bad_config why=GW_LISTEN: {err}", file=sys.stderr)
+        return 2
+    core.start()
+    Discovery(core).start()
+    Prober(core).start()
+    front.start()
+    log("started", name=told.name, members=len(told.known.members), sockets=told.limits.sockets)
+    log("stopping", signal=signal.Signals(signal.sigwait(SIGNALS)).name)
+    front.drain()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tansyladder/config.py
@@ -0,0 +1,173 @@
+"""The one place where configuration is read, checked and given defaults.
+
+`GW_CONFIG` names a JSON file; `GW_NAME`, `GW_LISTEN` and `GW_DISCOVERY` go before what it says.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from tansyladder.interface import Settings
+from tansyladder.settings import build_settings
+
+
+class ConfigError(Exception):
+    """A configuration that can't be used; the message names the key."""
+
+
+class Limits(msgspec.Struct, forbid_unknown_fields=False):
+    """What the machine grants."""
+
+    cores: float = 1.0
+    memory_mb: int = 192
+    sockets: int = 1024
+
+
+class MemberEntry(msgspec.Struct):
+    """One stream host as discovery writes it."""
+
+    id: str
+    host_port: str
+    phase: str
+    locality: str = ""
+    flavor: str = ""
+    cell: int = 0
+    size: float = 1.0
+    up_since_ms: int = 0
+
+
+class MemberList(msgspec.Struct):
+    """Discovery's list, or changes to it."""
+
+    revision: int = 0
+    complete: bool = True
+    members: list[MemberEntry] = []
+
+
+class _File(msgspec.Struct):
+    name: str = ""
+    listen: str = ""
+    discovery: str = ""
+    seed: str = "0"
+    limits: Limits = msgspec.field(default_factory=Limits)
+    known: MemberList = msgspec.field(default_factory=MemberList)
+    settings: dict[str, Any] = {}
+
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that the node is told at its start."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    limits: Limits
+    known: MemberList
+    settings: Settings
+    class_names: tuple[str, ...]
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+    tells_delay: bool
+    longest_deadline: timedelta
+
+
+def address(text: str, key: str) -> Address:
+    """HOST:PORT as a pair."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not (port.isascii() and port.isdigit()) or int(port) > 65535:
+        raise ConfigError(f"{key}: HOST:PORT expected, not {text!r}")
+    return host, int(port)
+
+
+def flatten(value: object, path: str = "") -> dict[str, str]:
+    """Nested JSON as the simulator's path=value pairs."""
+    if isinstance(value, dict):
+        pairs = ((f"{path}.{k}" if path else str(k), v) for k, v in value.items())
+        return {k: v for at, inner in pairs for k, v in flatten(inner, at).items()}
+    if isinstance(value, list):
+        if any(isinstance(v, dict) for v in value):
+            out = {f"{path}.count": str(len(value))}
+            for i, inner in enumerate(value):
+                out.update(flatten(inner, f"{path}.{i}"))
+            return out
+        return {path: ",".join(_plain(v) for v in value)}
+    return {path: _plain(value)}
+
+
+def _plain(value: object) -> str:
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    return "" if value is None else str(value)
+
+
+def _names(settings: Mapping[str, Any], key: str) -> tuple[str, ...]:
+    value = settings.get(key, [])
+    if not isinstance(value, list) or not all(isinstance(v, str) for v in value):
+        raise ConfigError(f"settings.{key}: a list of names expected")
+    return tuple(value)
+
+
+def _class_names(settings: Mapping[str, Any]) -> tuple[str, ...]:
+    classes = settings.get("classes", [])
+    if not isinstance(classes, list) or not classes:
+        raise ConfigError("settings.classes: a list with at least one class expected")
+    for i, one in enumerate(classes):
+        if not isinstance(one, dict) or not isinstance(one.get("name"), str):
+            raise ConfigError(f"settings.classes.{i}.name: a name expected")
+    return tuple(one["name"] for one in classes)
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """The configuration from the environment and the file that it names."""
+    path = environ.get("GW_CONFIG")
+    if not path:
+        raise ConfigError("GW_CONFIG: not set; it names the JSON file with the settings")
+    try:
+        text = Path(path).read_bytes()
+    except OSError as err:
+        raise ConfigError(f"GW_CONFIG: {err.strerror or err}: {path}") from err
+    try:
+        read = msgspec.json.decode(text, type=_File)
+    except msgspec.ValidationError as err:  # its message ends in the key: "... - at `$.limits.sockets`"
+        raise ConfigError(f"GW_CONFIG: {err}") from err
+    except (msgspec.DecodeError, UnicodeDecodeError) as err:
+        raise ConfigError(f"GW_CONFIG: not JSON: {err}") from err
+    try:
+        seed = int(read.seed, 16)
+    except ValueError as err:
+        raise ConfigError(f"seed: hexadecimal digits expected, not {read.seed!r}") from err
+    for key, value in (("memory_mb", read.limits.memory_mb), ("sockets", read.limits.sockets)):
+        if value < 1:
+            raise ConfigError(f"limits.{key}: must be above 0")
+    if not read.limits.cores > 0:
+        raise ConfigError("limits.cores: must be above 0")
+    names = _class_names(read.settings)
+    flat = flatten(read.settings)
+    try:
+        settings = build_settings(flat)
+    except ValueError as err:
+        raise ConfigError(f"settings.{err}") from err
+    return Config(
+        name=environ.get("GW_NAME") or read.name or "node",
+        listen=address(environ.get("GW_LISTEN") or read.listen, "GW_LISTEN"),
+        discovery=address(environ.get("GW_DISCOVERY") or read.discovery, "GW_DISCOVERY"),
+        seed=seed,
+        limits=read.limits,
+        known=read.known,
+        settings=settings,
+        class_names=names,
+        zones=_names(read.settings, "localities"),
+        kinds=_names(read.settings, "kinds"),
+        tells_delay=flat.get("extra.tells_delay") == "true",
+        longest_deadline=timedelta(microseconds=max(c.deadline for c in settings.classes)),
+    )
--- /dev/null
+++ b/tansyladder/net/core.py
@@ -0,0 +1,267 @@
+"""The core: owns the one Balancer behind a lock, its clock and timers, and hands its actions out.
+
+Sockets are used outside the lock only: actions are put into the transactions' mailboxes under it, so that
+their order is the module's, and whoever waits is woken after it is released.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import heapq
+import itertools
+import os
+import queue
+import threading
+from collections import deque
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, replace
+from datetime import timedelta
+from typing import TypeVar
+
+from tansyladder import interface as api
+from tansyladder.choice import Balancer
+from tansyladder.config import Address, Config, ConfigError, MemberEntry, MemberList, address
+from tansyladder.log import log
+from tansyladder.must import must_hold
+from tansyladder.net.clock import EPOCH, MICROSECOND, Clock, now
+from tansyladder.net.delays import DelayMeter
+
+PHASES = {"up": api.State.READY, "draining": api.State.DRAINING, "removed": api.State.GONE}
+Order = api.Send | api.Refuse | api.Fail | api.Cancel | api.Move
+_T = TypeVar("_T")
+BACKLOG = 256  # probes and watch calls that may wait for their threads; more than a fleet has members
+
+
+@dataclass(frozen=True, slots=True)
+class PoolMember:
+    """A stream host as this node reaches it."""
+
+    number: int  # the module's number for it
+    id: str
+    address: Address
+    state: api.State
+
+
+class Mailbox:
+    """What the module tells one transaction; whoever polls on sockets can poll on it as well."""
+
+    def __init__(self) -> None:
+        self._orders: deque[Order] = deque()
+        self._lock = threading.Lock()
+        self._event = -1
+        self._nudge: Callable[[], None] | None = None
+
+    def open(self) -> None:
+        """Take the descriptor that makes it pollable; raises OSError where none is left."""
+        self._event = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
+
+    def fileno(self) -> int:
+        return self._event
+
+    def post(self, order: Order) -> None:
+        self._orders.append(order)
+
+    def take(self) -> Order | None:
+        """The next order, if there is one."""
+        with self._lock:
+            if self._event >= 0:
+                # Read even when nothing is there: a late wake would spin the poll.
+                with contextlib.suppress(BlockingIOError):
+                    os.eventfd_read(self._event)
+                if len(self._orders) > 1:
+                    os.eventfd_write(self._event, 1)
+            return self._orders.popleft() if self._orders else None
+
+    def first(self) -> Order | None:
+        """The next order, left where it is."""
+        return self._orders[0] if self._orders else None
+
+    @property
+    def standing(self) -> bool:
+        return self._nudge is not None
+
+    def wake(self) -> None:
+        with self._lock:  # its own lock: the descriptor or socket can't be closed, and reused, meanwhile
+            if self._event >= 0:
+                os.eventfd_write(self._event, 1)
+            elif self._nudge:
+                self._nudge()
+
+    def stand(self, nudge: Callable[[], None]) -> None:
+        """From now on a call wakes the holder: a standing connection costs no descriptor of its own here."""
+        with self._lock:
+            self._release()
+            self._nudge = nudge
+            if self._orders:
+                nudge()
+
+    def close(self) -> None:
+        with self._lock:
+            self._release()
+            self._nudge = None
+
+    def _release(self) -> None:
+        if self._event >= 0:
+            os.close(self._event)
+            self._event = -1
+
+
+class Core:
+    """One node's decisions, for any front that brings transactions."""
+
+    def __init__(self, config: Config) -> None:
+        self.config = config
+        self.clock = Clock()
+        self._lock = threading.Lock()
+        self._timers: list[tuple[timedelta, int]] = []
+        self._timer_set = threading.Condition(self._lock)
+        self._boxes: dict[int, Mailbox] = {}
+        self._numbers: dict[str, int] = {}
+        self._members: dict[int, PoolMember] = {}
+        self._zones = {name: i for i, name in enumerate(config.zones)}
+        self._kinds = {name: i for i, name in enumerate(config.kinds)}
+        self._ids = itertools.count(1)
+        self.probes: queue.Queue[PoolMember] = queue.Queue(BACKLOG)
+        self.watches: queue.Queue[bool] = queue.Queue(BACKLOG)
+        self.revision = config.known.revision
+        aims = [c.message_aim for c in config.settings.classes if c.message_aim]
+        self.delays = DelayMeter(min(aims) * MICROSECOND / 3) if config.tells_delay and aims else None
+        self.classes = {name: i for i, name in enumerate(config.class_names)}
+        self._balancer = Balancer(config.settings, config.seed, self.clock.micros(now()))
+
+    def start(self) -> None:
+        """Hand the module its last known list and start the timers."""
+        self.tell_members(self.config.known, api.ListKind.CACHED)
+        threading.Thread(target=self._run_timers, name="timers", daemon=True).start()
+
+    # --- the module's events and actions
+
+    def tell(self, *events: api.Event) -> None:
+        """Let the module hear events of this moment, in order, and hand out what it says."""
+        with self._lock:
+            woken = self._decide(events)
+        for box in woken:
+            box.wake()
+
+    def _decide(self, events: Sequence[api.Event]) -> list[Mailbox]:
+        """Under the lock: one call of the module; returns whose holders to wake once it is released."""
+        woken = []
+        for action in self._balancer.handle(self.clock.micros(now()), events):
+            match action:
+                case api.SetTimer(at, token):
+                    heapq.heappush(self._timers, (self.clock.moment(at), token))
+                    if self._timers[0][1] == token:
+                        self._timer_set.notify()
+                case api.Send(id) | api.Refuse(id) | api.Fail(id) | api.Cancel(id) | api.Move(id):
+                    box = self._boxes.get(id)
+                    # Neither a withdrawal of what stands nor a move of what does not comes through.
+                    if box and not isinstance(action, api.Cancel if box.standing else api.Move):
+                        box.post(action)
+                        woken.append(box)
+                case api.Probe(server):
+                    self._hand(self.probes, self._members[server])
+                case api.Watch(on):
+                    self._hand(self.watches, on)
+                case api.Log(text):
+                    log("module", text=text)
+                case api.Tell():
+                    must_hold(False, "tell_without_peers")
+        return woken
+
+    @staticmethod
+    def _hand(to: queue.Queue[_T], item: _T) -> None:
+        try:
+            to.put_nowait(item)
+        except queue.Full:
+            must_hold(False, "backlog_full")
+
+    def _run_timers(self) -> None:
+        while True:
+            with self._timer_set:
+                while not self._timers or self._timers[0][0] > now():
+                    left = (self._timers[0][0] - now()).total_seconds() if self._timers else 60.0
+                    self._timer_set.wait(max(0.0, left))
+                due = []
+                moment = now()
+                while self._timers and self._timers[0][0] <= moment:
+                    due.append(api.Timer(heapq.heappop(self._timers)[1]))
+                woken = self._decide(due)
+            for box in woken:
+                box.wake()
+
+    # --- transactions
+
+    def register(self, box: Mailbox) -> int:
+        """A new transaction's number."""
+        with self._lock:
+            number = next(self._ids)
+            self._boxes[number] = box
+            return number
+
+    def forget(self, number: int) -> None:
+        with self._lock:
+            self._boxes.pop(number, None)
+
+    def order(self, orders: Sequence[Order]) -> None:
+        """Hand out orders of the node's own; who is over already is passed by."""
+        with self._lock:
+            boxes = [(o, self._boxes[o.id]) for o in orders if o.id in self._boxes]
+            for order, box in boxes:
+                box.post(order)
+        for _, box in boxes:
+            box.wake()
+
+    def held(self, standing: bool) -> list[int]:
+        """The transactions whose connections stand, or those still in hand."""
+        with self._lock:
+            return [n for n, box in self._boxes.items() if box.standing == standing]
+
+    # --- pool members
+
+    def member(self, number: int) -> PoolMember:
+        with self._lock:
+            return self._members[number]
+
+    def member_of_id(self, ident: str) -> PoolMember | None:
+        with self._lock:
+            number = self._numbers.get(ident)
+            return self._members.get(number) if number is not None else None
+
+    def tell_members(self, listed: MemberList, kind: api.ListKind) -> None:
+        """The list or changes of it; entries that make no sense are left out and logged."""
+        with self._lock:
+            lines = [line for line in map(self._line, listed.members) if line is not None]
+            self.revision = listed.revision
+            woken = self._decide([api.Members(kind, tuple(lines), listed.revision)])
+        for box in woken:
+            box.wake()
+
+    def _line(self, entry: MemberEntry) -> api.Line | None:
+        state = PHASES.get(entry.phase)
+        try:
+            reach = address(entry.host_port, "host_port")
+        except ConfigError as err:
+            log("bad_member", id=entry.id, why=err)
+            return None
+        if state is None:
+            log("bad_member", id=entry.id, why=f"phase: unknown: {entry.phase}")
+            return None
+        number = self._numbers.setdefault(entry.id, len(self._numbers) + 1)
+        known = self._members.get(number)
+        self._members[number] = (
+            replace(known, address=reach, state=state)
+            if known
+            else PoolMember(number, entry.id, reach, state)
+        )
+        since = 0
+        if entry.up_since_ms > 0:
+            since = self.clock.micros(self.clock.of_wall(EPOCH + timedelta(milliseconds=entry.up_since_ms)))
+        return api.Line(
+            number,
+            self._zones.setdefault(entry.locality, len(self._zones)),
+            entry.cell,
+            self._kinds.setdefault(entry.flavor, len(self._kinds)),
+            entry.size,
+            state,
+            since,
+        )
--- /dev/null
+++ b/tansyladder/net/flow.py
@@ -0,0 +1,113 @@
+"""One server-side flow: connect, the first line with its own `d`, and what comes back as a Status."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from dataclasses import dataclass
+from datetime import timedelta
+
+from tansyladder import interface as api
+from tansyladder.interface import Status
+from tansyladder.log import log
+from tansyladder.net import protocol, sockets
+from tansyladder.net.clock import now
+from tansyladder.net.core import Mailbox, PoolMember
+
+WORDS = {protocol.BUSY: Status.FULL, protocol.ERR: Status.ERROR, protocol.MOVE: Status.CANCELLED,
+         protocol.BYE: Status.OK}  # fmt: skip
+
+
+@dataclass(slots=True)
+class Answer:
+    """How a flow's opening went; the socket is there only where the connection stands."""
+
+    status: Status
+    receipt: bytes = b""
+    sock: socket.socket | None = None
+    buffer: protocol.LineBuffer | None = None
+    ready: tuple[bytes, ...] = ()  # lines that came right behind the receipt
+    client_left: bool = False
+    client_spoke: bool = False  # a line before UP, which the protocol does not allow
+
+
+class ServerSideFlow:
+    """One attempt of a transaction at a pool member."""
+
+    def __init__(
+        self, member: PoolMember, opening: protocol.Opening, until: timedelta, connect: timedelta
+    ) -> None:
+        self._member, self._opening, self._until, self._connect = member, opening, until, connect
+
+    def open(self, client: socket.socket, box: Mailbox) -> Answer:
+        """Connect, send the first line and wait for the answer; unless it stands, the socket is closed."""
+        sock = self._reach()
+        if sock is None:
+            return Answer(Status.CONNECT_FAILED)
+        try:
+            answer = self._ask(sock, client, box)
+        except OSError as err:
+            # The line's last byte may have gone out: the member may have run it.
+            log("flow_reset", member=self._member.id, why=err)
+            answer = Answer(Status.RESET)
+        if answer.sock is None:
+            sock.close()
+        return answer
+
+    def _reach(self) -> socket.socket | None:
+        """Connect and write the line: what breaks before its last byte is out never ran."""
+        wait = min(self._connect, self._until - now())
+        if wait <= timedelta(0):
+            return None
+        try:
+            sock = socket.create_connection(self._member.address, wait.total_seconds())
+        except OSError as err:
+            log("connect_failed", member=self._member.id, why=err)
+            return None
+        try:
+            sockets.prepare(sock)
+            sock.sendall(self._opening.for_member(self._until - now()))
+        except OSError as err:
+            log("connect_failed", member=self._member.id, why=err)
+            sock.close()
+            return None
+        return sock
+
+    def _ask(self, sock: socket.socket, client: socket.socket, box: Mailbox) -> Answer:
+        buffer = protocol.LineBuffer()
+        while True:
+            ready = sockets.wait_readable(self._until, sock.fileno(), client.fileno(), box.fileno())
+            if sock.fileno() in ready:
+                data = sock.recv(sockets.CHUNK)
+                if not data:
+                    return Answer(Status.RESET)
+                try:
+                    lines = buffer.feed(data)
+                except protocol.LineError as err:
+                    log("bad_answer", member=self._member.id, why=err)
+                    return Answer(Status.ERROR)
+                if lines:
+                    return self._read(sock, buffer, lines)
+                continue
+            if client.fileno() in ready:
+                # A client that ends its side, or whose connection broke, has left.
+                with contextlib.suppress(OSError):
+                    if client.recv(1, socket.MSG_PEEK):
+                        return Answer(Status.CANCELLED, client_spoke=True)
+                return Answer(Status.CANCELLED, client_left=True)
+            if box.fileno() in ready:
+                if isinstance(box.first(), api.Refuse):
+                    return Answer(Status.CANCELLED)  # the node itself ends the transaction, and reads why
+                if isinstance(box.take(), api.Cancel):
+                    return Answer(Status.CANCELLED)
+            elif not ready and now() >= self._until:
+                return Answer(Status.TIMEOUT)
+
+    def _read(self, sock: socket.socket, buffer: protocol.LineBuffer, lines: list[bytes]) -> Answer:
+        first, *more = lines
+        word = protocol.word_of(first)
+        if word == b"UP":
+            return Answer(Status.OK, first, sock, buffer, tuple(more))
+        if word not in WORDS:
+            log("bad_answer", member=self._member.id, line=first[:80])
+        return Answer(WORDS.get(word, Status.ERROR))
--- /dev/null
+++ b/tansyladder/net/probe.py
@@ -0,0 +1,77 @@
+"""Probes: one short connection each, `STATS` where members report their load and `PING` elsewhere."""
+
+from __future__ import annotations
+
+import math
+import socket
+import threading
+from datetime import timedelta
+
+from tansyladder import interface as api
+from tansyladder.interface import Status
+from tansyladder.log import log
+from tansyladder.net import protocol
+from tansyladder.net.clock import MICROSECOND, now, seconds_left
+from tansyladder.net.core import Core, PoolMember
+
+WAIT = timedelta(milliseconds=100)
+WORKERS = 4
+
+
+class Prober:
+    """A few threads that take probes off the core's queue."""
+
+    def __init__(self, core: Core) -> None:
+        self._core = core
+        settings = core.config.settings
+        self._columns = settings.report_columns
+        self._connect = settings.connect_timeout * MICROSECOND
+
+    def start(self) -> None:
+        if self._core.config.settings.probes:
+            for i in range(WORKERS):
+                threading.Thread(target=self._run, name=f"probe-{i}", daemon=True).start()
+
+    def _run(self) -> None:
+        while True:
+            member = self._core.probes.get()
+            started = now()
+            status, load = self._probe(member)
+            took = (now() - started) // MICROSECOND
+            self._core.tell(api.Probed(member.number, status, took, load))
+
+    def _probe(self, member: PoolMember) -> tuple[Status, tuple[float, ...]]:
+        until = now() + WAIT
+        try:
+            sock = socket.create_connection(member.address, min(self._connect, WAIT).total_seconds())
+        except OSError:
+            return Status.CONNECT_FAILED, ()
+        with sock:
+            try:
+                sock.sendall((protocol.STATS if self._columns else protocol.PING) + b"\r\n")
+                buffer, lines = protocol.LineBuffer(), list[bytes]()
+                while len(lines) < (2 if self._columns else 1):
+                    sock.settimeout(max(0.001, seconds_left(until)))
+                    data = sock.recv(protocol.MAX_LINE)
+                    if not data:
+                        return Status.RESET, ()
+                    lines += buffer.feed(data)
+                    if protocol.word_of(lines[0] if lines else b"PONG") != protocol.PONG:
+                        return Status.ERROR, ()
+            except TimeoutError:
+                return Status.TIMEOUT, ()
+            except OSError:
+                return Status.RESET, ()
+            except protocol.LineError as err:
+                log("bad_answer", member=member.id, why=err)
+                return Status.ERROR, ()
+        return Status.OK, parse_load(lines[1]) if self._columns else ()
+
+
+def parse_load(line: bytes) -> tuple[float, ...]:
+    """The values of a LOAD line; none where one is not a number."""
+    try:
+        values = tuple(float(v) for v in line.decode("ascii").replace(",", " ").split()[1:])
+    except ValueError:
+        return ()
+    return values if all(map(math.isfinite, values)) else ()
--- /dev/null
+++ b/tansyladder/net/protocol.py
@@ -0,0 +1,124 @@
+"""The platform's lines: pure parsing and formatting, no sockets."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+from datetime import timedelta
+
+MAX_LINE = 4096
+MILLISECOND = timedelta(milliseconds=1)
+PING, PONG, STATS, ERR, BUSY, BYE, MOVE = b"PING", b"PONG", b"STATS", b"ERR", b"BUSY", b"BYE", b"MOVE"
+_ID = re.compile(r"[0-9a-f]{1,16}\Z", re.I | re.A)
+_WAIT = re.compile(r"[0-9]{1,9}\Z", re.A)
+
+
+class LineError(Exception):
+    """A line that does not follow the protocol."""
+
+
+class LineBuffer:
+    """Cuts what arrives into whole lines, each with its line end; holds 4 KiB of a broken one at most."""
+
+    __slots__ = ("rest",)
+
+    def __init__(self) -> None:
+        self.rest = b""
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """The lines that are whole now."""
+        *lines, self.rest = (self.rest + data).split(b"\n")
+        if len(self.rest) >= MAX_LINE or any(len(line) >= MAX_LINE for line in lines):
+            raise LineError(f"a line longer than {MAX_LINE} bytes")
+        return [line + b"\n" for line in lines]
+
+
+def content(line: bytes) -> bytes:
+    """A line without its end, which must be CRLF."""
+    if not line.endswith(b"\r\n"):
+        raise LineError("a line that does not end in CRLF")
+    return line[:-2]
+
+
+@dataclass(frozen=True, slots=True)
+class Opening:
+    """A client's first line."""
+
+    ident: str
+    key: int
+    cls: str
+    wait: timedelta
+    group: int
+    repeat: bool
+    again: bool
+    at: str | None
+    hint: float | None
+    names: tuple[tuple[str, str], ...]
+    raw_key: str
+
+    def for_member(self, wait: timedelta) -> bytes:
+        """The line as a pool member gets it: unchanged but for `d`, the time that this node will wait."""
+        left = str(max(1, wait // MILLISECOND))
+        values = ",".join(f"{k}={left if k == 'd' else v}" for k, v in self.names)
+        return f"OPEN {self.ident} {self.raw_key} {values}\r\n".encode()
+
+
+def parse_opening(line: bytes) -> Opening:
+    """A client's OPEN line, checked."""
+    try:
+        words = content(line).decode("utf-8").split(" ")
+    except UnicodeDecodeError as err:
+        raise LineError("a line that is not UTF-8") from err
+    if len(words) != 4 or words[0] != "OPEN":
+        raise LineError("not OPEN ID KEY VALUES")
+    _, ident, key, values = words
+    if not ident:
+        raise LineError("id: empty")
+    if not _ID.match(key):
+        raise LineError("key: up to 16 hexadecimal digits expected")
+    names = tuple(_pair(part) for part in values.split(","))
+    told = dict(names)
+    if len(told) != len(names):
+        raise LineError("a name stands twice")
+    if "c" not in told:
+        raise LineError("c: missing")
+    if not _WAIT.match(told.get("d", "")):
+        raise LineError("d: whole milliseconds expected")
+    if not _ID.match(told.get("g", "0")):
+        raise LineError("g: up to 16 hexadecimal digits expected")
+    hint = None
+    if "h" in told:
+        try:
+            hint = float(told["h"])
+        except ValueError as err:
+            raise LineError("h: not a number") from err
+        if not 0 <= hint < 4e9:
+            raise LineError("h: out of range")
+    return Opening(
+        ident=ident, key=int(key, 16), cls=told["c"], wait=int(told["d"]) * MILLISECOND,
+        group=int(told.get("g", "0"), 16), repeat=told.get("r") == "1", again=told.get("again") == "1",
+        at=told.get("at"), hint=hint, names=names, raw_key=key,
+    )  # fmt: skip
+
+
+def _pair(text: str) -> tuple[str, str]:
+    name, equals, value = text.partition("=")
+    if not name or not equals:
+        raise LineError("NAME=VALUE expected")
+    return name, value
+
+
+def format_reject(come_back: timedelta) -> bytes:
+    """The answer that turns a client away."""
+    ms = -(-come_back // MILLISECOND)
+    return b"BUSY %d\r\n" % ms if ms > 0 else b"BUSY\r\n"
+
+
+def format_failed(reason: str) -> bytes:
+    """The answer that promises nothing."""
+    return f"FAILED {reason}\r\n".encode()
+
+
+def word_of(line: bytes) -> bytes:
+    """The first word of a line."""
+    return line.rstrip(b"\r\n").split(b" ", 1)[0]
--- /dev/null
+++ b/tansyladder/net/sockets.py
@@ -0,0 +1,56 @@
+"""Small helpers on blocking sockets; every wait has an end."""
+
+from __future__ import annotations
+
+import contextlib
+import select
+import socket
+import struct
+from datetime import timedelta
+
+from tansyladder.net.clock import now, seconds_left
+
+SEND_WAIT = timedelta(seconds=5)  # a peer that takes nothing for this long is given up
+LINGER = timedelta(milliseconds=500)  # a peer that was told the end has this long to end its side
+CHUNK = 8192
+READABLE = select.POLLIN | select.POLLHUP | select.POLLERR | select.POLLNVAL
+_RESET = struct.pack("ii", 1, 0)
+
+
+def prepare(sock: socket.socket) -> None:
+    """Lines go out at once, and no send waits without an end."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.settimeout(SEND_WAIT.total_seconds())
+
+
+def wait_readable(until: timedelta, *fds: int) -> set[int]:
+    """Which of these can be read, or have ended, by a moment."""
+    poll = select.poll()
+    for fd in fds:
+        poll.register(fd, select.POLLIN)
+    return {fd for fd, _ in poll.poll(-(-seconds_left(until) * 1000 // 1))}
+
+
+def reset(sock: socket.socket) -> None:
+    """End a connection with a reset."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+    sock.close()
+
+
+def finish(sock: socket.socket, last: bytes = b"") -> None:
+    """Send the last words and end in good order.
+
+    A close with unread input turns into a reset, which may overtake the last words: so the sending side is
+    ended first, and what still comes is read away for a moment.
+    """
+    with contextlib.suppress(OSError):
+        if last:
+            sock.sendall(last)
+        sock.shutdown(socket.SHUT_WR)
+        until = now() + LINGER
+        while wait_readable(until, sock.fileno()) and sock.recv(CHUNK):
+            if now() >= until:
+                break
+    sock.close()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -28,7 +28,8 @@
 
 
 def settings(**over: Any) -> Settings:
-    cls = {k: over.pop(k) for k in ("effect", "group", "window", "worth", "aim", "deadline") if k in over}
+    names = ("effect", "group", "window", "worth", "aim", "deadline")
+    cls: dict[str, Any] = {k: over.pop(k) for k in names if k in over}
     one_class: dict[str, Any] = {"aim": AIM, "deadline": DEADLINE, "window": 5 * S, "message_aim": 150 * MS}
     one = ClassSettings(**{**one_class, **cls})
     base: dict[str, Any] = {
