Count a connection served to its end as ok, not as a reset

At fault: relay.py returned 'self._ended or ...', and Status.OK is 0. A second path had the same end: BYE in the same read as UP was passed on but not taken as the last word.

--- a/tansyladder/net/relay.py
+++ b/tansyladder/net/relay.py
@@ -42,11 +42,12 @@
         with contextlib.suppress(OSError):
             self._member.shutdown(socket.SHUT_RD)
 
-    def run(self, first: bytes) -> Status:
+    def run(self, first: tuple[bytes, ...]) -> Status:
         """Pass on lines until the connection is over; both sockets are closed then."""
         try:
-            if first:
-                self._client.sendall(first)
+            self._last_word = protocol.word_of(first[-1])  # UP and BYE may come in one read
+            with contextlib.suppress(OSError):  # a client that left is met again in the first read
+                self._client.sendall(b"".join(first))
             return self._pass()
         except protocol.LineError as err:
             log("bad_line", where="relay", why=err)
@@ -92,7 +93,8 @@
                         other.sendall(rest)
                     other.shutdown(socket.SHUT_WR)
                 until_end = until_end or now() + AFTER_END
-        return self._ended or Status.CANCELLED
+        # Never `or`: the status of success is 0, and a sound member would be blamed with a reset.
+        return Status.CANCELLED if self._ended is None else self._ended
 
     def _forward(self, side: socket.socket, other: socket.socket, data: bytes) -> None:
         lines = (self._to_client if side is self._member else self._to_member).feed(data)
@@ -131,7 +133,7 @@
     def _reset(self, side: socket.socket, other: socket.socket) -> Status:
         self._end(side)
         sockets.reset(other)
-        return self._ended or Status.RESET
+        return Status.RESET if self._ended is None else self._ended
 
     def _move(self, status: Status) -> Status:
         """Only whole lines have gone out, so MOVE stands between two of them."""
--- a/tansyladder/net/transaction.py
+++ b/tansyladder/net/transaction.py
@@ -124,7 +124,7 @@
 
         relay = Relay(self._client, answer.sock, self._box, answer.buffer, heard)
         self._box.stand(relay.nudge)
-        return relay.run(answer.receipt + b"".join(answer.ready))
+        return relay.run((answer.receipt, *answer.ready))
 
     def _take_up(self, ident: str) -> None:
         """A connection that stood at a pool member before the run goes back there."""
--- a/tansyladder/net/virtual_server.py
+++ b/tansyladder/net/virtual_server.py
@@ -41,6 +41,11 @@
         # Kept for the moment when no descriptor is left: a full table must not leave clients unanswered.
         self._reserve = os.open(os.devnull, os.O_RDONLY)
 
+    @property
+    def address(self) -> tuple[str, int]:
+        host, port = self._listener.getsockname()[:2]
+        return host, port
+
     def start(self) -> None:
         threading.Thread(target=self._accept, name="accept", daemon=True).start()
 
@@ -146,6 +151,11 @@
             raise protocol.LineError(f"c: unknown class {opening.cls[:40]}")
         Transaction(self._core, sock, opening, arrived).run()
 
+    def stop_listening(self) -> None:
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)  # a close alone would not wake the accepting thread
+        self._listener.close()
+
     def drain(self) -> None:
         """After SIGTERM: serve what still arrives, then move what stands, reject the rest in time."""
         core = self._core
@@ -164,8 +174,7 @@
             moved.update(some)
             core.order([api.Move(n) for n in some])
             _sleep(now() + PACE)
-        with contextlib.suppress(OSError):
-            self._listener.shutdown(socket.SHUT_RDWR)
+        self.stop_listening()
         # What is in hand is turned away; what came to stand a moment ago takes it as a move.
         core.order([api.Refuse(n) for n in core.held(False)])
         core.order([api.Move(n) for n in core.held(True) if n not in moved])
--- /dev/null
+++ b/tests/node.py
@@ -0,0 +1,153 @@
+"""The shared helper of the node's stories: a node in this process, and peers that follow a script."""
+
+from __future__ import annotations
+
+import json
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+from tansyladder import config
+from tansyladder import interface as api
+from tansyladder.net.core import Core
+from tansyladder.net.virtual_server import VirtualServer
+
+Script = Callable[["Peer"], None]
+SETTINGS: dict[str, Any] = {
+    "family": "conn", "discovery": "on_request", "localities": ["a", "b"], "kinds": ["m"], "locality": 0,
+    "classes": [{"name": "chat", "slo": 300_000, "hard_limit": 1_200_000, "worth": 5.0}],
+    "extra": {"message_aim": [50_000], "tells_delay": True},
+    "ceilings": {"attempts_cap": 3, "connect_timeout": 75_000, "retry_after": True},
+    "rules": {"ask_within": 10_000_000, "stop_sending_within": 2_500_000},
+}  # fmt: skip
+
+
+class Peer:
+    """One end of a connection, line by line; every read has its end."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        sock.settimeout(10)
+        self._file = sock.makefile("rb")
+
+    def say(self, *lines: str) -> None:
+        self.sock.sendall("".join(f"{line}\r\n" for line in lines).encode())
+
+    def hear(self) -> str:
+        """The next line without its end; empty at the end of the connection."""
+        return self._file.readline().decode().removesuffix("\r\n")
+
+    def close(self) -> None:
+        self._file.close()
+        self.sock.close()
+
+
+def up(then: Script | None = None) -> Script:
+    """A stream host's script that brings the connection up."""
+
+    def script(peer: Peer) -> None:
+        peer.hear()
+        peer.say("UP r1")
+        if then:
+            then(peer)
+
+    return script
+
+
+class Listener:
+    """A scripted party: its n-th connection follows the n-th script, the last one again and again."""
+
+    def __init__(self, *scripts: Script) -> None:
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
+        self._scripts = scripts
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def _run(self) -> None:
+        for n in range(10**6):
+            try:
+                sock, _ = self.sock.accept()
+            except OSError:
+                return
+            script = self._scripts[min(n, len(self._scripts) - 1)]
+            threading.Thread(target=self._play, args=(script, Peer(sock)), daemon=True).start()
+
+    @staticmethod
+    def _play(script: Script, peer: Peer) -> None:
+        try:
+            script(peer)
+        except (OSError, ValueError):
+            pass  # the node ended the connection first
+        finally:
+            peer.close()
+
+
+class HeardCore(Core):
+    """A core that keeps what its module heard."""
+
+    def __init__(self, told: config.Config) -> None:
+        super().__init__(told)
+        self.heard: list[api.Event] = []
+
+    def tell(self, *events: api.Event) -> None:
+        self.heard.extend(events)
+        super().tell(*events)
+
+    def wait_for(self, kind: type, count: int = 1) -> Any:
+        """The newest event of a kind, once there are so many."""
+        until = time.monotonic() + 10
+        while time.monotonic() < until:
+            found = [e for e in self.heard if isinstance(e, kind)]
+            if len(found) >= count:
+                return found[count - 1]
+            time.sleep(0.005)
+        raise AssertionError(f"no {kind.__name__}: {self.heard}")
+
+
+class Node:
+    """A node on loopback and the way of a client to it."""
+
+    def __init__(self, core: HeardCore, front: VirtualServer) -> None:
+        self.core, self.front = core, front
+
+    def connect(self) -> Peer:
+        return Peer(socket.create_connection(self.front.address, 5))
+
+    def open(self, values: str = "c=chat,d=1200,g=5c", key: str = "7f") -> Peer:
+        client = self.connect()
+        client.say(f"OPEN 9b1f {key} {values}")
+        return client
+
+
+def member(ident: str, address: str, **over: Any) -> dict[str, Any]:
+    return {"id": ident, "host_port": address, "locality": "a", "flavor": "m", "phase": "up", **over}
+
+
+def told(tmp_path: Path, *members: dict[str, Any], **over: Any) -> config.Config:
+    """A configuration as the platform writes it."""
+    file = tmp_path / "config.json"
+    whole = {
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"revision": 1, "complete": True, "members": list(members)},
+        "settings": SETTINGS, **over,
+    }  # fmt: skip
+    file.write_text(json.dumps(whole))
+    return config.load({"GW_CONFIG": str(file)})
+
+
+@contextmanager
+def node(tmp_path: Path, *members: Listener, **over: Any) -> Iterator[Node]:
+    """A node that knows these members."""
+    core = HeardCore(told(tmp_path, *(member(f"s{i}", m.address) for i, m in enumerate(members)), **over))
+    front = VirtualServer(core)
+    core.start()
+    front.start()
+    try:
+        yield Node(core, front)
+    finally:
+        front.stop_listening()
