Probe each member once a second where no delay notes come, and take slow answers as late

So the module asks each ready member in turn, and two answers in a row over 2.2 times the best one count as a delay note.

--- a/tansyladder/choice.py
+++ b/tansyladder/choice.py
@@ -26,6 +26,8 @@
 MEMORY = 8  # set-ups over which a node judges whether they fail everywhere
 SHARED = 0.5  # share of failing set-ups from which the cause is shared: no single server fails most of them
 EVEN_STRAIN = 0.6  # strain taken for a server that carries the mean, where nobody reports
+SLOWED = 2.2  # times its best from which a probe's answer is slow: at a fair load it takes up to 1.7 times
+HICCUP = 3000  # us over its best that a probe may take by chance, on a server whose answers come quickly
 BLAMED = (Status.FULL, Status.TIMEOUT, Status.CONNECT_FAILED, Status.RESET, Status.ERROR)
 MASK = (1 << 64) - 1
 
@@ -52,7 +54,7 @@
     __slots__ = (
         "id", "zone", "cell", "size", "state", "ready_at", "told_at", "seed", "mark", "strain", "strain_at",
         "added", "added_at", "delay", "delay_at", "conns", "load", "trying", "credit", "credit_at", "moves",
-        "moving", "probing", "waiting",
+        "moving", "probing", "waiting", "best", "doubt",
     )  # fmt: skip
 
     def __init__(self, line: api.Line, now: int) -> None:
@@ -76,6 +78,7 @@
         self.added, self.added_at = 0.0, 0  # strain of what this node sent since reports could show it
         self.credit, self.credit_at = -1.0, 0
         self.moves, self.moving = Backoff(), False
+        self.best, self.doubt = 0, False  # its quickest answer to a probe; whether the last one was slow
 
 
 class Pool:
@@ -194,6 +197,8 @@
         self.home.servers = [s for s in ready if s.zone == self.set.zone]
         self.away.servers = [s for s in ready if s.zone != self.set.zone]
         self.home.looked_at = self.away.looked_at = -1
+        if event.kind is ListKind.CACHED and self.set.probe_pace and self.set.probes:
+            self._later(self.now + self.rng.randint(0, self.set.probe_pace), self._ask_round, 0)
         if event.kind is ListKind.CACHED and self.set.ask_discovery:
             # All nodes may start together: their first calls are spread, or the list's one service chokes.
             self._later(self.now + self.rng.randint(0, self.set.ask_within * 3 // 4), self._watch, 0)
@@ -272,9 +277,7 @@
                 if self.now - s.strain_at > self.patience // FRESH and not self._cold(s):
                     r.asking += 1
                     s.waiting.append(rid)
-                    if not s.probing:
-                        s.probing = True
-                        self.out.append(api.Probe(s.id))
+                    self._ask(s)
         if r.asking:
             wait = min(self.set.classes[r.cls].aim // 4, max(0, r.deadline - self.now) // 4)
             self._later(self.now + wait, self._place, rid)
@@ -541,6 +544,8 @@
         if s is None:
             return
         s.probing = False
+        if self.set.probe_pace:
+            self._timed(s, event)
         if event.status is Status.OK:
             self._report(s, event.load)
         elif event.status is not Status.FULL:
@@ -553,6 +558,41 @@
                 if not r.asking:
                     self._place(rid)
 
+    def _ask_round(self, turn: int) -> None:
+        """Where no notes tell of late messages, each server in turn shows by a probe how quick it is."""
+        ready = self.home.servers + self.away.servers
+        if ready:
+            self._ask(ready[turn % len(ready)])
+        self._later(self.now + self.set.probe_pace // max(1, len(ready)), self._ask_round, turn + 1)
+
+    def _ask(self, s: Server) -> None:
+        if not s.probing:
+            s.probing = True
+            self.out.append(api.Probe(s.id))
+
+    def _timed(self, s: Server, event: api.Probed) -> None:
+        """A probe that takes far longer than the server's best, twice in a row, stands for late messages."""
+        took = event.latency
+        if event.status is Status.OK:
+            s.best = min(s.best or took, took)
+        elif event.status not in (Status.ERROR, Status.TIMEOUT) or not s.best:
+            return  # no answer that could be timed; a mark is enough
+        slow = took > s.best * SLOWED and took > s.best + HICCUP
+        if slow and not s.doubt:
+            self._ask(s)  # once may be chance
+        elif slow:
+            self._delayed(s, self.message_aim * took / (s.best * SLOWED))
+        elif self._late(s):
+            self._delayed(s, 0)
+        s.doubt = slow
+
+    def _delayed(self, s: Server, delay: float) -> None:
+        """Messages take this long at s."""
+        s.delay, s.delay_at = delay, self.now
+        if s.delay > self.message_aim * LATE:
+            self._mark(s)
+            self._plan_move(s)
+
     def _note(self, event: api.Note) -> None:
         r = self.requests.get(event.id)
         s = self.servers.get(event.server)
@@ -563,10 +603,7 @@
                 s.load = max(0.0, s.load + event.value - r.load)
                 r.load = event.value
         elif event.kind == NoteKind.DELAY:
-            s.delay, s.delay_at = event.value * 1000, self.now
-            if s.delay > self.message_aim * LATE:
-                self._mark(s)
-                self._plan_move(s)
+            self._delayed(s, event.value * 1000)
 
     # --- moves
 
@@ -576,9 +613,8 @@
             s.moving = True
             s.moves.failed(self.now, self.patience // 4, 3, self.rng)
             self._later(s.moves.at, self._move, s.id)
-            if self.set.probes and self.x0 >= 0 and not s.probing:
-                s.probing = True
-                self.out.append(api.Probe(s.id))
+            if self.set.probes and self.x0 >= 0:
+                self._ask(s)
 
     def _move(self, sid: int) -> None:
         s = self.servers[sid]
--- a/tansyladder/config.py
+++ b/tansyladder/config.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from pathlib import Path
 from typing import Any
@@ -16,6 +16,10 @@
 from tansyladder.interface import Settings
 from tansyladder.settings import build_settings
 
+# The simulator sends delay notes; on sockets they come on no line, and members echo at once even while they
+# are far behind, so timing the lines shows nothing. A probe a second shows it; its price is small.
+PROBE_PACE = timedelta(seconds=1)
+
 
 class ConfigError(Exception):
     """A configuration that can't be used; the message names the key."""
@@ -164,7 +168,7 @@
         seed=seed,
         limits=read.limits,
         known=read.known,
-        settings=settings,
+        settings=replace(settings, probe_pace=PROBE_PACE // timedelta(microseconds=1)),
         class_names=names,
         zones=_names(read.settings, "localities"),
         kinds=_names(read.settings, "kinds"),
--- a/tansyladder/net/probe.py
+++ b/tansyladder/net/probe.py
@@ -14,7 +14,7 @@
 from tansyladder.net.clock import MICROSECOND, now, seconds_left
 from tansyladder.net.core import Core, PoolMember
 
-WAIT = timedelta(milliseconds=100)
+WAIT = timedelta(milliseconds=150)  # a member answers ERR after 100 ms where it has no time
 WORKERS = 4
 
 
--- /dev/null
+++ b/tests/test_probes.py
@@ -0,0 +1,60 @@
+"""Where no delay notes come, timed probes stand in for them."""
+
+from __future__ import annotations
+
+from tansyladder.interface import Move, Opened, Probe, Probed, Status
+from tests.helpers import MS, START, Node, S, line
+
+
+def rig() -> Node:
+    """A node of two members with forty connections on the first; the first answers a probe in 5 ms."""
+    node = Node([line(1), line(2)], probes=True, probe_pace=S)
+    for rid in range(1, 41):
+        node.give(Opened(rid, 0, 0, 1))
+    answer(node, 5 * MS)
+    return node
+
+
+def answer(node: Node, took: int, status: Status = Status.OK) -> list[object]:
+    """Let the node ask member 1, which answers so slowly; what else the node does at once."""
+    while not node.node.servers[1].probing:
+        node.step()
+    node.now += took
+    return list(node.give(Probed(1, status, took)))
+
+
+def test_each_member_is_asked_in_turn() -> None:
+    node = Node([line(1), line(2)], probes=True, probe_pace=S)
+    asked = []
+    while node.now < START + 4 * S:
+        for probe in [a for a in node.step() if isinstance(a, Probe)]:
+            asked.append(probe.server)
+            node.give(Probed(probe.server, Status.OK, 5 * MS))
+    assert 7 <= len(asked) <= 9
+    assert {asked.count(1), asked.count(2)} <= {3, 4, 5}
+
+
+def test_answers_far_slower_than_the_best_move_connections_off() -> None:
+    node = rig()
+    assert answer(node, 40 * MS) == [Probe(1)]  # once may be chance: it is asked again at once
+    answer(node, 40 * MS)
+    assert node.node.servers[1].mark.n == 1
+    moves = [a for a in node.run(node.now + 3 * S) if isinstance(a, Move)]
+    assert 5 < len(moves) < 40
+    _, acts = node.ask()
+    assert acts[0].server == 2  # type: ignore[union-attr]
+
+
+def test_a_hiccup_or_a_member_that_is_quick_again_moves_nothing() -> None:
+    node = rig()
+    answer(node, 40 * MS)
+    answer(node, 5 * MS)
+    answer(node, 7 * MS)
+    answer(node, 7 * MS)
+    assert node.node.servers[1].mark.n == 0
+    answer(node, 100 * MS, Status.ERROR)
+    answer(node, 100 * MS, Status.ERROR)
+    assert node.node.servers[1].delay > 0
+    answer(node, 5 * MS)
+    assert node.node.servers[1].delay == 0
+    assert not [a for a in node.run(node.now + 3 * S) if isinstance(a, Move)]
