--- a/tests/node.py
+++ b/tests/node.py
@@ -6,14 +6,14 @@
 import socket
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
 from tansyladder import config
 from tansyladder import interface as api
-from tansyladder.net.core import Core
+from tansyladder.net.core import Core, Mailbox
 from tansyladder.net.virtual_server import VirtualServer
 
 Script = Callable[["Peer"], None]
@@ -93,9 +93,9 @@
         super().__init__(told)
         self.heard: list[api.Event] = []
 
-    def tell(self, *events: api.Event) -> None:
+    def _decide(self, events: Sequence[api.Event]) -> list[Mailbox]:
         self.heard.extend(events)
-        super().tell(*events)
+        return super()._decide(events)
 
     def wait_for(self, kind: type, count: int = 1) -> Any:
         """The newest event of a kind, once there are so many."""
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,64 @@
+"""Configuration: each fault names its key, and the program ends with 2 and no traceback."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tansyladder import must
+from tansyladder.config import ConfigError, load
+from tests.node import SETTINGS, member, told
+
+
+@pytest.mark.parametrize(
+    ("over", "named"),
+    [
+        ({"listen": "nowhere"}, "GW_LISTEN"),
+        ({"discovery": "127.0.0.1:x"}, "GW_DISCOVERY"),
+        ({"seed": "xyz"}, "seed"),
+        ({"limits": {"sockets": "many"}}, "$.limits.sockets"),
+        ({"limits": {"memory_mb": 0}}, "limits.memory_mb"),
+        ({"known": {"members": [{"id": "s0"}]}}, "host_port"),
+        ({"settings": {}}, "settings.classes"),
+        ({"settings": SETTINGS | {"localities": "a"}}, "settings.localities"),
+        ({"settings": SETTINGS | {"classes": [{"name": "chat", "slo": 0}]}}, "settings.classes.0.aim"),
+        ({"settings": SETTINGS | {"rules": {"cold": "long"}}}, "settings.rules.cold"),
+    ],
+)
+def test_a_fault_names_its_key(tmp_path: Path, over: dict[str, Any], named: str) -> None:
+    with pytest.raises(ConfigError) as err:
+        told(tmp_path, member("s0", "127.0.0.1:9"), **over)
+    assert named in str(err.value)
+
+
+def test_the_environment_goes_before_the_file(tmp_path: Path) -> None:
+    told(tmp_path)
+    read = load({"GW_CONFIG": str(tmp_path / "config.json"), "GW_NAME": "n7", "GW_LISTEN": "127.0.0.2:80"})
+    assert (read.name, read.listen, read.discovery) == ("n7", ("127.0.0.2", 80), ("127.0.0.1", 1))
+    assert (read.settings.classes[0].message_aim, read.class_names) == (50_000, ("chat",))
+    assert read.longest_deadline == timedelta(seconds=1.2)
+
+
+def test_the_program_ends_with_2_and_one_line(tmp_path: Path) -> None:
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps({"settings": 5}))
+    env = {**os.environ, "GW_CONFIG": str(file)}
+    done = subprocess.run([sys.executable, "-m", "tansyladder"], env=env, capture_output=True, timeout=20)
+    assert done.returncode == 2
+    assert done.stderr.count(b"\n") == 1 and b"$.settings" in done.stderr
+
+
+def test_what_must_hold_raises_in_debug_and_is_counted_in_release() -> None:
+    must.must_hold(True, "fine")
+    with pytest.raises(AssertionError, match="broken_thing"):
+        must.must_hold(False, "broken_thing")
+    code = "from tansyladder.must import broken, must_hold; must_hold(False, 'x'); print(broken['x'])"
+    done = subprocess.run([sys.executable, "-O", "-c", code], capture_output=True, text=True, timeout=20)
+    assert (done.stdout, done.stderr) == ("1\n", "event=must_hold name=x count=1\n")
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -2,10 +2,28 @@
 
 from __future__ import annotations
 
+import json
+import os
+import re
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import threading
+import time
 from pathlib import Path
 
+import pytest
+
 from tansyladder import interface as api
-from tests.node import SETTINGS, Listener, Peer, node, up
+from tansyladder.net.discovery import Discovery
+from tansyladder.net.probe import Prober
+from tests.node import SETTINGS, Listener, Peer, member, node, told, up
+
+
+def void(*_: object) -> None:
+    """For scripts that only read."""
 
 
 def test_a_connection_served_to_its_end_is_no_failure(tmp_path: Path) -> None:
@@ -40,3 +58,243 @@
         client.say("M 2")
         assert client.hear() == "MOVE"
         assert n.core.wait_for(api.Outcome).status is api.Status.TIMEOUT
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"OPEN 1 7f c=chat,d=12" + b"0" * 5000 + b"\r\n",
+        b"OPEN 1 7f c=chat,d=1200\n",
+        b"OPEN 1 7f c=ch\xff,d=1200\r\n",
+        b"OPEN 1 7f c=nobody,d=1200\r\n",
+        b"OPEN 1 7f c=chat,d=soon\r\n",
+        b"OPEN 1 7f c=chat,d=1,d=2\r\n",
+        b"OPEN 1 7f c=chat,d=1200\r\nOPEN 2 7f c=chat,d=1200\r\n",
+        b"HELLO\r\n",
+    ],
+)
+def test_bad_first_lines_get_an_answer_and_the_node_goes_on(tmp_path: Path, line: bytes) -> None:
+    with node(tmp_path, Listener(up())) as n:
+        client = n.connect()
+        client.sock.sendall(line)
+        assert client.hear().startswith("FAILED ")
+        assert client.hear() == ""
+        front = n.connect()
+        for _ in range(2):
+            front.say("PING")
+            assert front.hear() == "PONG"
+
+
+def test_the_first_line_goes_on_unchanged_but_for_the_time(tmp_path: Path) -> None:
+    lines: list[str] = []
+
+    def keep(peer: Peer) -> None:
+        lines.append(peer.hear())
+        peer.say("UP r1", "BYE")
+
+    with node(tmp_path, Listener(keep)) as n:
+        assert n.open("c=chat,d=1200,g=5c0f,again=1,x=new").hear() == "UP r1"
+    start, wait, rest = re.split(r"(?<=,d=)(\d+)", lines[0])
+    assert (start, rest) == ("OPEN 9b1f 7f c=chat,d=", ",g=5c0f,again=1,x=new")
+    assert 400 < int(wait) <= 1200
+
+
+def test_a_member_that_turns_away_is_left_before_the_next_is_asked(tmp_path: Path) -> None:
+    """Two attempts of one request must never be outstanding at once, and BUSY comes with its time."""
+    out = []
+
+    def busy(peer: Peer) -> None:
+        peer.hear()
+        out.append("asked")
+        peer.say("BUSY")
+        peer.hear()  # the node closes before it asks again
+        out.append("closed")
+
+    with node(tmp_path, Listener(busy)) as n:
+        client = n.open()
+        word, ms = client.hear().split()
+        assert word == "BUSY" and 0 < int(ms) <= 1000
+        assert client.hear() == ""
+    assert out == ["asked", "closed"] * (len(out) // 2)
+    assert {e.status for e in n.core.heard if isinstance(e, api.Outcome)} == {api.Status.FULL}
+
+
+def test_a_client_that_leaves_ends_its_attempt(tmp_path: Path) -> None:
+    ended = threading.Event()
+
+    def silent(peer: Peer) -> None:
+        peer.hear()
+        peer.hear()
+        ended.set()
+
+    with node(tmp_path, Listener(silent)) as n:
+        client = n.open()
+        n.core.wait_for(api.Request)
+        client.close()
+        assert ended.wait(1)
+        outcome = n.core.wait_for(api.Outcome)
+        assert (outcome.status, outcome.closed) == (api.Status.CANCELLED, True)
+        assert n.core.wait_for(api.Gone).id == outcome.id
+
+
+def test_a_member_that_never_answers_times_out_and_the_client_is_told_in_time(tmp_path: Path) -> None:
+    with node(tmp_path, Listener(lambda peer: void(peer.hear(), peer.hear()))) as n:
+        client, start = n.open("c=chat,d=300"), time.monotonic()
+        assert client.hear().startswith("BUSY")
+        assert time.monotonic() - start < 0.35
+        assert n.core.wait_for(api.Outcome).status is api.Status.TIMEOUT
+
+
+def test_resets_and_half_closes_are_passed_on_in_kind(tmp_path: Path) -> None:
+    def reset(peer: Peer) -> None:
+        peer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+    def last_words(peer: Peer) -> None:
+        assert peer.hear() == ""
+        peer.say("M 9")
+
+    with node(tmp_path, Listener(up(last_words), up(reset))) as n:
+        client = n.open()
+        assert client.hear() == "UP r1"
+        client.sock.shutdown(socket.SHUT_WR)
+        assert [client.hear(), client.hear()] == ["M 9", ""]
+        assert n.core.wait_for(api.Outcome).status is api.Status.CANCELLED
+        client = n.open(key="80")
+        assert client.hear() == "UP r1"
+        with pytest.raises(ConnectionResetError):
+            client.hear()
+        assert n.core.wait_for(api.Outcome, 2).status is api.Status.RESET
+
+
+def test_a_connection_from_before_the_run_goes_to_its_member(tmp_path: Path) -> None:
+    with node(tmp_path, Listener(up()), Listener(up(lambda peer: void(peer.hear())))) as n:
+        assert n.open("c=chat,d=5000,at=s1").hear() == "UP r1"
+        assert n.core.wait_for(api.Opened).server == 2
+        assert n.open("c=chat,d=5000,at=nobody").hear().startswith("BUSY")
+
+
+def test_over_its_limit_the_node_turns_away(tmp_path: Path) -> None:
+    limits = {"cores": 1, "memory_mb": 192, "sockets": 70}
+    with node(tmp_path, Listener(up(lambda peer: void(peer.hear()))), limits=limits) as n:
+        clients = [n.open() for _ in range(3)]
+        assert sorted(c.hear().split()[0] for c in clients) == ["BUSY", "UP", "UP"]
+
+
+def test_a_client_that_does_not_read_holds_up_nobody(tmp_path: Path) -> None:
+    def flood(peer: Peer) -> None:
+        while True:
+            peer.say("F" * 4000)
+
+    def echo(peer: Peer) -> None:
+        peer.say(peer.hear())
+
+    with node(tmp_path, Listener(up(flood), up(echo))) as n:
+        stuck = n.open()
+        n.core.wait_for(api.First)
+        client = n.open(key="80")
+        assert client.hear() == "UP r1"
+        client.say("M 1")
+        assert client.hear() == "M 1"
+        stuck.close()
+
+
+def test_delays_over_a_third_of_the_aim_become_notes(tmp_path: Path) -> None:
+    def late(peer: Peer) -> None:
+        for wait in (0.11, 0.0):
+            line = peer.hear()
+            time.sleep(wait)
+            peer.say(line)
+        peer.hear()
+
+    extra = {"message_aim": [300_000], "tells_delay": True}
+    with node(tmp_path, Listener(up(late)), settings=SETTINGS | {"extra": extra}) as n:
+        client = n.open()
+        assert client.hear() == "UP r1"
+        client.say("M 1")
+        assert client.hear() == "M 1"
+        note = n.core.wait_for(api.Note)
+        assert (note.kind, note.server) == (api.NoteKind.DELAY, 1) and 110 <= note.value < 150
+        time.sleep(1.05)  # what is heard within a second is taken together
+        client.say("M 2")
+        assert n.core.wait_for(api.Note, 2).value < 100
+
+
+def test_discovery_is_watched_and_a_failure_is_told(tmp_path: Path) -> None:
+    """A broken answer of any kind is one FAILED for the module, and the next call finds a new connection."""
+    calls: list[tuple[float, str]] = []
+
+    def answer(peer: Peer, body: str, status: str = "200 OK") -> None:
+        calls.append((time.monotonic(), peer.hear()))
+        while peer.hear():
+            pass
+        peer.sock.sendall(f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+
+    changed = {"id": "s9", "host_port": "127.0.0.1:9", "phase": "draining"}
+
+    def sound(peer: Peer) -> None:
+        answer(peer, json.dumps({"revision": 7, "complete": False, "members": [changed]}))
+        answer(peer, "{}", "503 Busy")
+
+    service = Listener(sound, lambda peer: answer(peer, "{no json"), lambda peer: peer.say("SSH-2.0"))
+    seldom = SETTINGS | {"rules": {"ask_within": 10**12}}  # the module's own calls stay out of this story
+    with node(tmp_path, discovery=service.address, settings=seldom) as n:
+        discovery = Discovery(n.core)
+        discovery.start()
+        for _ in range(3):
+            n.core.watches.put(True)
+            time.sleep(0.3)
+        kinds = [e.kind for e in n.core.heard if isinstance(e, api.Members)][1:]
+        assert kinds == [api.ListKind.DELTA, *[api.ListKind.FAILED] * 3]
+        assert calls[0][1].startswith("GET /v1/servers?since=1&timeout_ms=")
+        assert calls[1][1].startswith("GET /v1/servers?since=7&") and calls[1][0] - calls[0][0] < 0.2
+        changed_member = n.core.member_of_id("s9")
+        assert changed_member is not None and changed_member.state is api.State.DRAINING
+
+
+def test_a_probe_is_timed(tmp_path: Path) -> None:
+    def pong(peer: Peer) -> None:
+        assert peer.hear() == "PING"
+        time.sleep(0.02)
+        peer.say("PONG")
+
+    def err(peer: Peer) -> None:
+        peer.hear()
+        peer.say("ERR")
+
+    ceilings = SETTINGS["ceilings"] | {"probes": True}
+    with node(tmp_path, Listener(pong, err), settings=SETTINGS | {"ceilings": ceilings}) as n:
+        Prober(n.core).start()
+        first, second = n.core.wait_for(api.Probed), n.core.wait_for(api.Probed, 2)
+        assert first.status is api.Status.OK and 20_000 <= first.latency < 60_000
+        assert second.status is api.Status.ERROR
+
+
+def test_a_planned_restart_moves_whom_it_holds_and_ends_in_time(tmp_path: Path) -> None:
+    host = Listener(up(lambda peer: void(*iter(peer.hear, ""))))
+    spare = socket.create_server(("127.0.0.1", 0))
+    port = str(spare.getsockname()[1])
+    spare.close()
+    told(tmp_path, member("s0", host.address))
+    env = {**os.environ, "GW_CONFIG": str(tmp_path / "config.json"), "GW_LISTEN": f"127.0.0.1:{port}"}
+    run = subprocess.Popen([sys.executable, "-O", "-m", "tansyladder"], env=env, stderr=subprocess.PIPE)
+    try:
+        assert run.stderr is not None and b"event=started" in run.stderr.readline()
+        clients = [Peer(socket.create_connection(("127.0.0.1", int(port)), 5)) for _ in range(20)]
+        for client in clients:
+            client.say("OPEN 9b1f 7f c=chat,d=1200,g=5c")
+            assert client.hear() == "UP r1"
+        start = time.monotonic()
+        run.send_signal(signal.SIGTERM)
+        time.sleep(0.2)
+        clients.append(Peer(socket.create_connection(("127.0.0.1", int(port)), 5)))
+        clients[-1].say("OPEN 9b20 80 c=chat,d=1200,g=5c")
+        assert clients[-1].hear() == "UP r1"  # what still arrives is served, and moved like the others
+        assert [client.hear() for client in clients] == ["MOVE"] * 21
+        for client in clients:
+            client.close()
+        assert run.wait(5) == 0
+        assert time.monotonic() - start < 1.2 + 0.7
+    finally:
+        run.kill()
+        if run.stderr:
+            run.stderr.close()
