Move the clients of a member that leaves before it does

At fault: _members in choice.py only set the state. Now each connection there is moved at a random time within the drain's grace.

--- a/tansyladder/choice.py
+++ b/tansyladder/choice.py
@@ -183,6 +183,7 @@
             for s in self.servers.values():
                 if s.id not in listed and s.state is not State.GONE:
                     s.state, s.told_at = State.GONE, self.now
+                    self._clear(s)
         for line in event.lines:
             found = self.servers.get(line.server)
             if found is None:
@@ -191,6 +192,7 @@
                 found.restart(line.ready_at)
             if found.state is not line.state:
                 found.state, found.told_at = line.state, self.now
+                self._clear(found)
             found.zone, found.cell = line.zone, line.cell
             # An absurd weight must not draw all traffic, nor fail a division.
             found.size = line.weight if self.set.weighted and 0 < line.weight < 1e6 else 1.0
@@ -642,6 +644,18 @@
             r.done = True
             self.out.append(api.Move(rid))
 
+    def _clear(self, s: Server) -> None:
+        """s leaves: who is connected there is moved before it does, each at a time of its own."""
+        if s.state is not State.READY:
+            for rid in s.conns:
+                self._later(self.now + self.rng.randint(0, self.set.drain_grace), self._move_off, rid)
+
+    def _move_off(self, rid: int) -> None:
+        r = self.requests.get(rid)
+        if r and r.up and not r.done and r.server and r.server.state is not State.READY:
+            r.done = True
+            self.out.append(api.Move(rid))
+
     def _density(self, r: Request) -> float:
         """What a connection is worth for its load; what goes over its tenant's share is worth less."""
         worth = self.set.classes[r.cls].worth * (1.0 if self.set.worth_by_work else 1.0 / max(r.load, 1.0))
--- a/tansyladder/net/relay.py
+++ b/tansyladder/net/relay.py
@@ -27,10 +27,12 @@
         client: socket.socket,
         member: socket.socket,
         box: Mailbox,
+        name: str,
         buffer: protocol.LineBuffer,
         heard: Callable[[timedelta], None],
     ) -> None:
         self._client, self._member, self._box, self._heard = client, member, box, heard
+        self._name = name
         self._to_client, self._to_member = buffer, protocol.LineBuffer()
         self._asked: timedelta | None = None  # when the oldest line went out that nothing has come back for
         self._told = timedelta(0)  # when the oldest of them was last counted as overdue
@@ -67,7 +69,7 @@
             if until_end is not None and now() >= until_end:
                 break
             if self._overdue() and self._ended is None:
-                log("silent_flow")
+                log("silent_flow", member=self._name)
                 return self._move(Status.TIMEOUT)
             wait = until_end or now() + (OVERDUE if self._asked else IDLE)
             ready = sockets.wait_readable(wait, *(s.fileno() for s in open_sides))
--- a/tansyladder/net/transaction.py
+++ b/tansyladder/net/transaction.py
@@ -122,7 +122,7 @@
                 ms = value.total_seconds() * 1000
                 core.tell(api.Note(number, api.NoteKind.DELAY, attempt, member.number, ms))
 
-        relay = Relay(self._client, answer.sock, self._box, answer.buffer, heard)
+        relay = Relay(self._client, answer.sock, self._box, member.id, answer.buffer, heard)
         self._box.stand(relay.nudge)
         return relay.run((answer.receipt, *answer.ready))
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -12,6 +12,7 @@
     Group,
     ListKind,
     Members,
+    Move,
     Opened,
     Outcome,
     Refuse,
@@ -140,6 +141,20 @@
         assert {only_send(node.ask(key=k)[1]).server for k in range(1, 60)} == {8}
 
 
+def test_who_is_connected_is_told_to_move_before_the_server_leaves() -> None:
+    """A server that drains was left to send its clients away itself; one that does not cuts them off."""
+    node = Node(FLEET)
+    for rid in range(101, 121):
+        node.give(Opened(rid, 0, 0, 1))
+    node.give(Opened(121, 0, 0, 2))
+    node.give(Members(ListKind.DELTA, (line(1, state=State.DRAINING),)))
+    grace = node.settings.drain_grace
+    half = [a.id for a in node.run(node.now + grace // 2) if isinstance(a, Move)]
+    rest = [a.id for a in node.run(node.now + grace // 2 + 1) if isinstance(a, Move)]
+    assert 4 <= len(half) <= 16
+    assert sorted(half + rest) == list(range(101, 121))
+
+
 def test_a_server_absent_from_a_complete_list_gets_nothing() -> None:
     node = Node(FLEET)
     node.give(Members(ListKind.FULL, (line(3),)))
