--- a/tansyladder/choice.py
+++ b/tansyladder/choice.py
@@ -27,7 +27,6 @@
 SHARED = 0.5  # share of failing set-ups from which the cause is shared: no single server fails most of them
 EVEN_STRAIN = 0.6  # strain taken for a server that carries the mean, where nobody reports
 SLOWED = 1.7  # times its best from which a probe's answer is slow: it takes up to 1.3 times at a fair load
-STEEP = 3  # power of that by which messages are taken to be later: queues grow faster than what they hold up
 HICCUP = 3000  # us over its best that a probe may take by chance, on a server whose answers come quickly
 BLAMED = (Status.FULL, Status.TIMEOUT, Status.CONNECT_FAILED, Status.RESET, Status.ERROR)
 MASK = (1 << 64) - 1
@@ -584,7 +583,7 @@
         if slow and not s.doubt:
             self._ask(s)  # once may be chance
         elif slow:
-            self._delayed(s, self.message_aim * LATE * (took / (s.best * SLOWED)) ** STEEP)
+            self._delayed(s, self.message_aim * took / (s.best * SLOWED))
         elif self._late(s):
             self._delayed(s, 0)
         s.doubt = slow
