Take a probe answered far too soon as the sign of a hanging member, not as its new best

Checked: a trace of probes set against LOAD lines: while it hangs it answers PING in 0.6 ms instead of 6 (5.0 instead of 11 from another zone), so its best fell. At fault: _timed in choice.py took any quicker answer as the best. Now an answer under half of a best that eight answers bear out counts as late; if that goes on for long it becomes the best after all. Test: test_a_member_that_answers_far_too_soon_hangs_and_keeps_its_best, seen to fail without it.

--- a/tansyladder/choice.py
+++ b/tansyladder/choice.py
@@ -27,6 +27,8 @@
 SHARED = 0.5  # share of failing set-ups from which the cause is shared: no single server fails most of them
 EVEN_STRAIN = 0.6  # strain taken for a server that carries the mean, where nobody reports
 SLOWED = 1.7  # times its best from which a probe's answer is slow: it takes up to 1.3 times at a fair load
+IDLE = 0.5  # part of its best under which an answer comes from a member that does none of its work
+SURE = 8  # answers from which a best is known so well that one far under it is no better best
 HICCUP = 3000  # us over its best that a probe may take by chance, on a server whose answers come quickly
 BLAMED = (Status.FULL, Status.TIMEOUT, Status.CONNECT_FAILED, Status.RESET, Status.ERROR)
 MASK = (1 << 64) - 1
@@ -54,7 +56,7 @@
     __slots__ = (
         "id", "zone", "cell", "size", "state", "ready_at", "told_at", "seed", "mark", "strain", "strain_at",
         "added", "added_at", "delay", "delay_at", "conns", "load", "trying", "credit", "credit_at", "moves",
-        "moving", "probing", "waiting", "best", "doubt",
+        "moving", "probing", "waiting", "best", "doubt", "timed",
     )  # fmt: skip
 
     def __init__(self, line: api.Line, now: int) -> None:
@@ -78,7 +80,8 @@
         self.added, self.added_at = 0.0, 0  # strain of what this node sent since reports could show it
         self.credit, self.credit_at = -1.0, 0
         self.moves, self.moving = Backoff(), False
-        self.best, self.doubt = 0, False  # its quickest answer to a probe; whether the last one was slow
+        self.best, self.timed = 0, 0  # its quickest answer to a probe; how many bear that out
+        self.doubt = False  # whether the last answer was odd
 
 
 class Pool:
@@ -573,13 +576,21 @@
             self.out.append(api.Probe(s.id))
 
     def _timed(self, s: Server, event: api.Probed) -> None:
-        """A probe that takes far longer than the server's best, twice in a row, stands for late messages."""
+        """A probe that takes far longer than the server's best, twice in a row, stands for late messages.
+
+        So does one that is answered far sooner than ever: a process that hangs has no work that holds up the
+        answer. Taken for a new best, it would make the server look slow for good once it works again.
+        """
         took = event.latency
-        if event.status is Status.OK:
-            s.best = min(s.best or took, took)
+        idle = event.status is Status.OK and s.timed >= SURE and took < s.best * IDLE
+        if idle:
+            s.timed -= 1  # unless it goes on: then the best was measured in a bad time
+            took = s.best * 2
+        elif event.status is Status.OK:
+            s.best, s.timed = min(s.best or took, took), min(s.timed + 1, SURE * 4)
         elif event.status not in (Status.ERROR, Status.TIMEOUT) or not s.best:
             return  # no answer that could be timed; a mark is enough
-        slow = took > s.best * SLOWED and took > s.best + HICCUP
+        slow = idle or (took > s.best * SLOWED and took > s.best + HICCUP)
         if slow and not s.doubt:
             self._ask(s)  # once may be chance
         elif slow:
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -45,6 +45,24 @@
     assert acts[0].server == 2  # type: ignore[union-attr]
 
 
+def test_a_member_that_answers_far_too_soon_hangs_and_keeps_its_best() -> None:
+    """A hanging member answered at once; that became its best, and it counted as slow ever after."""
+    node = rig()
+    for _ in range(10):
+        answer(node, 5 * MS)
+    answer(node, MS)
+    answer(node, MS)
+    server = node.node.servers[1]
+    assert (server.mark.n, server.best) == (1, 5 * MS)
+    assert [a for a in node.run(node.now + 3 * S) if isinstance(a, Move)]
+    for _ in range(3):
+        answer(node, 5 * MS)
+    assert not node.node._late(server)
+    for _ in range(40):
+        answer(node, MS)
+    assert server.best == MS  # it goes on: the best was measured in a bad time
+
+
 def test_a_hiccup_or_a_member_that_is_quick_again_moves_nothing() -> None:
     node = rig()
     answer(node, 40 * MS)
