Close the spare descriptor once, and do not spin while none is left

Seen in reading: when descriptors ran out and the spare one could not be opened again, _turn_one_away closed its old number the next time, which may be a client's by then; and with nobody to take in the accepting thread went round without a pause. Both are in virtual_server.py. Test: test_the_spare_descriptor_is_closed_once, seen to fail without the fix.

--- a/tansyladder/net/sockets.py
+++ b/tansyladder/net/sockets.py
@@ -13,7 +13,6 @@
 SEND_WAIT = timedelta(seconds=5)  # a peer that takes nothing for this long is given up
 LINGER = timedelta(milliseconds=500)  # a peer that was told the end has this long to end its side
 CHUNK = 8192
-READABLE = select.POLLIN | select.POLLHUP | select.POLLERR | select.POLLNVAL
 _RESET = struct.pack("ii", 1, 0)
 
 
--- a/tansyladder/net/virtual_server.py
+++ b/tansyladder/net/virtual_server.py
@@ -26,6 +26,7 @@
 EXIT_MARGIN = timedelta(milliseconds=400)
 SETTLED = timedelta(milliseconds=500)  # before the end, the last client has been told to move
 CLOSING = timedelta(milliseconds=150)
+SHORT = timedelta(milliseconds=20)
 PACE = timedelta(milliseconds=10)
 
 
@@ -75,13 +76,15 @@
 
     def _turn_one_away(self) -> None:
         """Out of descriptors: the reserved one takes a single client in, to be turned away."""
-        os.close(self._reserve)
+        if self._reserve >= 0:
+            os.close(self._reserve)
+            self._reserve = -1  # its number may be another's at once: it must not be closed twice
         try:
-            self._listener.settimeout(0.05)
+            self._listener.settimeout(SHORT.total_seconds())
             sock, _ = self._listener.accept()
             self._reject(sock, "descriptors")
         except OSError:
-            pass
+            _sleep(now() + SHORT)  # nobody could be taken in: the next try must not spin
         finally:
             self._listener.settimeout(None)
             with contextlib.suppress(OSError):
@@ -91,7 +94,7 @@
         """Turn a client away in the accepting thread: its line is read so that no reset hides BUSY."""
         log("reject", why=why)
         with contextlib.suppress(OSError):
-            sock.settimeout(0.02)
+            sock.settimeout(SHORT.total_seconds())
             sock.recv(protocol.MAX_LINE)
             sock.sendall(protocol.format_reject(COME_BACK))
             sock.shutdown(socket.SHUT_WR)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -19,7 +19,8 @@
 from tansyladder import interface as api
 from tansyladder.net.discovery import Discovery
 from tansyladder.net.probe import Prober
-from tests.node import SETTINGS, Listener, Peer, member, node, told, up
+from tansyladder.net.virtual_server import VirtualServer
+from tests.node import SETTINGS, HeardCore, Listener, Peer, member, node, told, up
 
 
 def void(*_: object) -> None:
@@ -270,32 +271,74 @@
         assert second.status is api.Status.ERROR
 
 
-def test_a_planned_restart_moves_whom_it_holds_and_ends_in_time(tmp_path: Path) -> None:
-    host = Listener(up(lambda peer: void(*iter(peer.hear, ""))))
-    spare = socket.create_server(("127.0.0.1", 0))
-    port = str(spare.getsockname()[1])
-    spare.close()
+def start_program(tmp_path: Path, host: Listener, *before: str) -> tuple[subprocess.Popen[bytes], int]:
+    """The real program in its release build, and its port."""
+    with socket.create_server(("127.0.0.1", 0)) as spare:
+        port = spare.getsockname()[1]
     told(tmp_path, member("s0", host.address))
     env = {**os.environ, "GW_CONFIG": str(tmp_path / "config.json"), "GW_LISTEN": f"127.0.0.1:{port}"}
-    run = subprocess.Popen([sys.executable, "-O", "-m", "tansyladder"], env=env, stderr=subprocess.PIPE)
-    try:
-        assert run.stderr is not None and b"event=started" in run.stderr.readline()
-        clients = [Peer(socket.create_connection(("127.0.0.1", int(port)), 5)) for _ in range(20)]
-        for client in clients:
-            client.say("OPEN 9b1f 7f c=chat,d=1200,g=5c")
-            assert client.hear() == "UP r1"
+    run = subprocess.Popen(
+        [*before, sys.executable, "-O", "-m", "tansyladder"], env=env, stderr=subprocess.PIPE
+    )
+    assert run.stderr is not None and b"event=started" in run.stderr.readline()
+    return run, port
+
+
+def client_of(port: int) -> Peer:
+    client = Peer(socket.create_connection(("127.0.0.1", port), 5))
+    client.say("OPEN 9b1f 7f c=chat,d=1200,g=5c")
+    return client
+
+
+def test_a_planned_restart_moves_whom_it_holds_and_ends_in_time(tmp_path: Path) -> None:
+    host = Listener(up(lambda peer: void(*iter(peer.hear, ""))))
+    run, port = start_program(tmp_path, host)
+    with run:
+        clients = [client_of(port) for _ in range(20)]
+        assert {client.hear() for client in clients} == {"UP r1"}
         start = time.monotonic()
         run.send_signal(signal.SIGTERM)
         time.sleep(0.2)
-        clients.append(Peer(socket.create_connection(("127.0.0.1", int(port)), 5)))
-        clients[-1].say("OPEN 9b20 80 c=chat,d=1200,g=5c")
+        clients.append(client_of(port))
         assert clients[-1].hear() == "UP r1"  # what still arrives is served, and moved like the others
         assert [client.hear() for client in clients] == ["MOVE"] * 21
         for client in clients:
             client.close()
         assert run.wait(5) == 0
         assert time.monotonic() - start < 1.2 + 0.7
-    finally:
-        run.kill()
-        if run.stderr:
-            run.stderr.close()
+
+
+def test_out_of_descriptors_clients_are_turned_away_and_the_node_goes_on(tmp_path: Path) -> None:
+    host = Listener(up(lambda peer: void(*iter(peer.hear, ""))))
+    run, port = start_program(tmp_path, host, "sh", "-c", 'ulimit -n 32; exec "$@"', "sh")
+    with run:
+        clients = [client_of(port) for _ in range(40)]
+        words = [client.hear().split()[0] for client in clients]
+        assert 4 < words.count("UP") < 16 and words.count("BUSY") == 40 - words.count("UP")
+        for client in clients:
+            client.close()
+        time.sleep(0.3)
+        again = client_of(port)
+        assert again.hear().split()[0] in ("UP", "BUSY")
+        again.close()
+        run.send_signal(signal.SIGTERM)
+        assert run.wait(5) == 0
+        assert run.stderr is not None and b"Traceback" not in run.stderr.read()
+
+
+def test_the_spare_descriptor_is_closed_once(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Where it could not be had again, its old number was closed anew: by then it may be a client's."""
+    front = VirtualServer(HeardCore(told(tmp_path)))
+    closed: list[int] = []
+
+    def none_left(*_: object) -> int:
+        raise OSError("none left")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "open", none_left)
+        patch.setattr(os, "close", closed.append)
+        front._turn_one_away()
+        front._turn_one_away()
+    assert len(closed) == 1
+    os.close(closed[0])
+    front.stop_listening()
