Read the configuration anew on SIGHUP and switch discovery, instead of ending

Found on the way through the code: a status line with a superscript digit, an up_since_ms out of range, a host name that no resolver can take and a setting of 1e300 each ended a thread or the start with a traceback.

Checked: without the trap an early SIGHUP still ends the program (test seen to fail); without the switch the watch would wait up to 6.5 s.

--- a/tansyladder/config.py
+++ b/tansyladder/config.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from datetime import timedelta
@@ -83,13 +84,19 @@
     kinds: tuple[str, ...]
     tells_delay: bool
     longest_deadline: timedelta
+    written: Mapping[str, str]  # what the file says, by the paths of its keys
 
 
 def address(text: str, key: str) -> Address:
-    """HOST:PORT as a pair."""
-    host, colon, port = text.rpartition(":")
-    if not colon or not host or not (port.isascii() and port.isdigit()) or int(port) > 65535:
-        raise ConfigError(f"{key}: HOST:PORT expected, not {text!r}")
+    """HOST:PORT as a pair; the platform has no DNS, and looking a name up would block without an end."""
+    host, _, port = text.rpartition(":")
+    try:
+        if host != "localhost":
+            ipaddress.IPv4Address(host)
+        if not (port.isascii() and port.isdigit()) or len(port) > 5 or int(port) > 65535:
+            raise ValueError(port)
+    except ValueError as err:
+        raise ConfigError(f"{key}: HOST:PORT expected, not {text[:80]!r}") from err
     return host, int(port)
 
 
@@ -156,15 +163,16 @@
     if not read.limits.cores > 0:
         raise ConfigError("limits.cores: must be above 0")
     names = _class_names(read.settings)
-    flat = flatten(read.settings)
     try:
+        flat = flatten(read.settings)
         settings = build_settings(flat)
-    except ValueError as err:
+        longest = timedelta(microseconds=max(c.deadline for c in settings.classes))
+    except (ValueError, OverflowError) as err:  # numbers of thousands of digits too
         raise ConfigError(f"settings.{err}") from err
     return Config(
         name=environ.get("GW_NAME") or read.name or "node",
-        listen=address(environ.get("GW_LISTEN") or read.listen, "GW_LISTEN"),
-        discovery=address(environ.get("GW_DISCOVERY") or read.discovery, "GW_DISCOVERY"),
+        listen=_address(environ, "GW_LISTEN", read.listen),
+        discovery=_address(environ, "GW_DISCOVERY", read.discovery),
         seed=seed,
         limits=read.limits,
         known=read.known,
@@ -173,5 +181,32 @@
         zones=_names(read.settings, "localities"),
         kinds=_names(read.settings, "kinds"),
         tells_delay=flat.get("extra.tells_delay") == "true",
-        longest_deadline=timedelta(microseconds=max(c.deadline for c in settings.classes)),
+        longest_deadline=longest,
+        written=_written(read),
     )
+
+
+def _address(environ: Mapping[str, str], variable: str, in_file: str) -> Address:
+    """What the environment says, else the file; the message names the one that was read."""
+    if environ.get(variable):
+        return address(environ[variable], variable)
+    return address(in_file, variable.removeprefix("GW_").lower())
+
+
+def _written(read: _File) -> dict[str, str]:
+    """The file's keys and values; the list it knows is one value, as it only serves a start."""
+    whole = msgspec.to_builtins(read)
+    known = msgspec.json.encode(whole.pop("known")).decode()
+    return {**flatten(whole), "known": known}
+
+
+def reload(environ: Mapping[str, str], running: Config) -> tuple[Config, list[str]]:
+    """The file as it is now: the running settings with what may change, and the keys that may not but did.
+
+    Only discovery's address can change while the node runs, and here the file goes before GW_DISCOVERY,
+    which told the address of the start.
+    """
+    told = load({name: value for name, value in environ.items() if name != "GW_DISCOVERY"})
+    keys = sorted(running.written.keys() | told.written.keys())
+    fixed = [k for k in keys if running.written.get(k) != told.written.get(k) and k != "discovery"]
+    return replace(running, discovery=told.discovery), fixed
--- a/tansyladder/net/core.py
+++ b/tansyladder/net/core.py
@@ -14,7 +14,7 @@
 import threading
 from collections import deque
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import TypeVar
 
@@ -29,6 +29,7 @@
 PHASES = {"up": api.State.READY, "draining": api.State.DRAINING, "removed": api.State.GONE}
 Order = api.Send | api.Refuse | api.Fail | api.Cancel | api.Move
 _T = TypeVar("_T")
+MOST_MS = 10**14  # no member started after the year 5000: its clock is out of range
 BACKLOG = 256  # probes and watch calls that may wait for their threads; more than a fleet has members
 
 
@@ -168,6 +169,10 @@
                     must_hold(False, "tell_without_peers")
         return woken
 
+    def watch(self) -> None:
+        """Watch discovery without the module's word: its address has changed."""
+        self._hand(self.watches, True)
+
     @staticmethod
     def _hand(to: queue.Queue[_T], item: _T) -> None:
         try:
@@ -240,21 +245,17 @@
         state = PHASES.get(entry.phase)
         try:
             reach = address(entry.host_port, "host_port")
+            if state is None:
+                raise ConfigError(f"phase: unknown: {entry.phase[:40]}")
+            if not 0 <= entry.up_since_ms < MOST_MS:
+                raise ConfigError("up_since_ms: out of range")
         except ConfigError as err:
             log("bad_member", id=entry.id, why=err)
             return None
-        if state is None:
-            log("bad_member", id=entry.id, why=f"phase: unknown: {entry.phase}")
-            return None
         number = self._numbers.setdefault(entry.id, len(self._numbers) + 1)
-        known = self._members.get(number)
-        self._members[number] = (
-            replace(known, address=reach, state=state)
-            if known
-            else PoolMember(number, entry.id, reach, state)
-        )
+        self._members[number] = PoolMember(number, entry.id, reach, state)
         since = 0
-        if entry.up_since_ms > 0:
+        if entry.up_since_ms:
             since = self.clock.micros(self.clock.of_wall(EPOCH + timedelta(milliseconds=entry.up_since_ms)))
         return api.Line(
             number,
--- a/tansyladder/net/discovery.py
+++ b/tansyladder/net/discovery.py
@@ -1,24 +1,27 @@
-"""Discovery: the watch on the list of pool members, as the module asks for it."""
+"""Discovery: the watch on the list of pool members, as the module asks for it, and its change of address."""
 
 from __future__ import annotations
 
 import contextlib
 import queue
+import random
 import threading
 from datetime import timedelta
 
 import msgspec
 
-from tansyladder.config import MemberList
+from tansyladder.config import Address, MemberList
 from tansyladder.interface import ListKind
 from tansyladder.log import log
-from tansyladder.net.clock import MICROSECOND, now
+from tansyladder.net.clock import MICROSECOND, now, seconds_left
 from tansyladder.net.core import Core
 from tansyladder.net.http import HttpClient, HttpError
 
 WAIT = timedelta(seconds=5)  # of one watch call: a discovery that vanished is noticed soon after
 ANSWER = timedelta(seconds=1.5)  # for the answer, beyond the wait that was asked for
 CONNECT = timedelta(seconds=1)
+SPREAD = timedelta(milliseconds=250)  # of first calls to a new address: all nodes are told of it at once
+RETRY = timedelta(seconds=1)  # the widest interval between two tries there
 PATH = "/v1/servers"
 
 
@@ -27,12 +30,30 @@
 
     def __init__(self, core: Core) -> None:
         self._core = core
+        self._lock = threading.Lock()
         self._http = HttpClient(core.config.discovery)
+        self._address = core.config.discovery
+        self._new = False  # whether this address has yet to tell its whole list
+        self._retry = SPREAD
         self._decoder = msgspec.json.Decoder(MemberList)
 
     def start(self) -> None:
         threading.Thread(target=self._run, name="discovery", daemon=True).start()
 
+    def switch(self, to: Address) -> bool:
+        """Watch at another address from now on; False where it is the one that is watched already.
+
+        What is known stays until the new address has told its list. The old one's call ends here.
+        """
+        with self._lock:
+            if to == self._address:
+                return False
+            old, self._http = self._http, HttpClient(to)
+            self._address, self._new, self._retry = to, True, SPREAD
+        old.end()
+        self._core.watch()
+        return True
+
     def _run(self) -> None:
         while True:
             on = self._core.watches.get()
@@ -43,17 +64,37 @@
                         on = self._core.watches.get_nowait()
 
     def _call(self) -> bool:
-        """One watch call; False where it failed, and the module decides when to ask again."""
-        started = now()
+        """One call; False where it failed, and the module decides when to ask again."""
+        with self._lock:
+            http, new, retry = self._http, self._new, self._retry
+        if new:
+            # All nodes come at once to a service that takes calls one after another.
+            _pause(random.uniform(0, 1) * retry)
         path = f"{PATH}?since={self._core.revision}&timeout_ms={WAIT // (1000 * MICROSECOND)}"
+        started, listed, why = now(), None, ""
         try:
-            listed = self._decoder.decode(self._http.get(path, CONNECT, WAIT + ANSWER))
-        except (OSError, HttpError, msgspec.MsgspecError, UnicodeDecodeError) as err:
-            self._http.close()
-            log("discovery_failed", why=err, after=now() - started)
-            self._core.tell_members(MemberList(revision=self._core.revision), ListKind.FAILED)
-            return False
-        if listed.members or listed.complete:
+            body = http.get(PATH if new else path, CONNECT, ANSWER if new else WAIT + ANSWER)
+            listed = self._decoder.decode(body)
+        except (OSError, HttpError, msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as err:
+            http.close()
+            why = str(err)
+        if listed is None:
+            log("discovery_failed", why=why, after=now() - started)
+        elif listed.members or listed.complete:
             log("members", revision=listed.revision, complete=listed.complete, entries=len(listed.members))
-        self._core.tell_members(listed, ListKind.FULL if listed.complete else ListKind.DELTA)
-        return True
+        with self._lock:
+            if http is not self._http:  # what the old address says after the switch is told to nobody
+                http.close()
+                return True
+            if listed is not None:
+                self._new = False
+                self._core.tell_members(listed, ListKind.FULL if listed.complete else ListKind.DELTA)
+            elif new:
+                self._retry = min(2 * retry, RETRY)
+            else:
+                self._core.tell_members(MemberList(revision=self._core.revision), ListKind.FAILED)
+            return listed is not None or new
+
+
+def _pause(span: timedelta) -> None:
+    threading.Event().wait(seconds_left(now() + span))
--- a/tansyladder/net/http.py
+++ b/tansyladder/net/http.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
+import re
 import socket
+import threading
 from datetime import timedelta
 
 from tansyladder.config import Address
@@ -23,23 +26,32 @@
         self._address = address
         self._sock: socket.socket | None = None
         self._rest = b""
+        self._over = False
+        self._lock = threading.Lock()  # the descriptor must not be closed, and reused, while it is shut down
 
     def close(self) -> None:
-        if self._sock is not None:
-            self._sock.close()
-        self._sock, self._rest = None, b""
+        with self._lock:
+            if self._sock is not None:
+                self._sock.close()
+            self._sock, self._rest = None, b""
+
+    def end(self) -> None:
+        """From another thread: a call that waits fails now, and so does every later one."""
+        with self._lock:
+            self._over = True
+            if self._sock is not None:
+                with contextlib.suppress(OSError):
+                    self._sock.shutdown(socket.SHUT_RDWR)  # wakes a blocked recv, which a close does not
 
     def get(self, path: str, connect: timedelta, wait: timedelta) -> bytes:
         """The body of a 200 answer; HttpError or OSError otherwise, and the connection is given up."""
         try:
             until = now() + wait
-            if self._sock is None:
-                self._sock = socket.create_connection(self._address, connect.total_seconds())
-                self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock = self._connected(connect)
             host = f"{self._address[0]}:{self._address[1]}"
-            self._sock.settimeout(connect.total_seconds())
+            sock.settimeout(connect.total_seconds())
             ask = f"GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n"
-            self._sock.sendall(ask.encode())
+            sock.sendall(ask.encode())
             head = self._until(b"\r\n\r\n", until, MAX_HEAD)
             status, headers = parse_head(head)
             body = self._body(headers, until)
@@ -53,6 +65,16 @@
             raise HttpError(f"status {status}")
         return body
 
+    def _connected(self, wait: timedelta) -> socket.socket:
+        if self._sock is None:
+            sock = socket.create_connection(self._address, wait.total_seconds())
+            with self._lock:
+                self._sock = sock
+        if self._over:
+            raise HttpError("ended")
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return self._sock
+
     def _more(self, until: timedelta) -> None:
         assert self._sock is not None
         left = seconds_left(until)
@@ -111,7 +133,7 @@
     """The status and the headers, by their names in lower case."""
     first, *lines = head.decode("latin-1").split("\r\n")
     words = first.split(" ", 2)
-    if len(words) < 2 or not words[0].startswith("HTTP/1.") or not words[1].isdigit():
+    if len(words) < 2 or not words[0].startswith("HTTP/1.") or not re.fullmatch("[0-9]{3}", words[1]):
         raise HttpError("not an HTTP/1.1 answer")
     headers = {}
     for line in lines:
--- a/tansyladder/settings.py
+++ b/tansyladder/settings.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Mapping
 
 from tansyladder import interface as api
@@ -12,6 +11,7 @@
     "idempotency_key": api.Effect.KEYED,
     "non_idempotent": api.Effect.UNSAFE,
 }
+MOST = 1e15  # of any figure: thirty years in microseconds, which fits every span
 
 
 def build_settings(raw: Mapping[str, str]) -> api.Settings:
@@ -22,8 +22,8 @@
             value = float(raw.get(key, default))
         except ValueError as err:
             raise ValueError(f"{key}: not a number: {raw[key]!r}") from err
-        if not math.isfinite(value):
-            raise ValueError(f"{key}: not a finite number")
+        if not abs(value) < MOST:
+            raise ValueError(f"{key}: not a finite number in range")
         return value
 
     def whole(key: str, default: int) -> int:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -20,8 +20,8 @@
 @pytest.mark.parametrize(
     ("over", "named"),
     [
-        ({"listen": "nowhere"}, "GW_LISTEN"),
-        ({"discovery": "127.0.0.1:x"}, "GW_DISCOVERY"),
+        ({"listen": "nowhere"}, "listen"),
+        ({"discovery": "127.0.0.1:x"}, "discovery"),
         ({"seed": "xyz"}, "seed"),
         ({"limits": {"sockets": "many"}}, "$.limits.sockets"),
         ({"limits": {"memory_mb": 0}}, "limits.memory_mb"),
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -12,6 +12,7 @@
 import sys
 import threading
 import time
+import tomllib
 from pathlib import Path
 
 import pytest
@@ -271,12 +272,27 @@
         assert second.status is api.Status.ERROR
 
 
-def start_program(tmp_path: Path, host: Listener, *before: str) -> tuple[subprocess.Popen[bytes], int]:
+def until_line(run: subprocess.Popen[bytes], start: bytes) -> None:
+    """Read the program's log up to a line."""
+    assert run.stderr is not None
+    for line in run.stderr:
+        if line.startswith(start):
+            return
+    raise AssertionError(f"the log ended without {start!r}")
+
+
+def start_program(
+    tmp_path: Path, host: Listener, *before: str, **over: object
+) -> tuple[subprocess.Popen[bytes], int]:
     """The real program in its release build, and its port."""
     with socket.create_server(("127.0.0.1", 0)) as spare:
         port = spare.getsockname()[1]
-    told(tmp_path, member("s0", host.address))
-    env = {**os.environ, "GW_CONFIG": str(tmp_path / "config.json"), "GW_LISTEN": f"127.0.0.1:{port}"}
+    read = told(tmp_path, member("s0", host.address), **over)
+    discovery = "{}:{}".format(*read.discovery)
+    env = {
+        **os.environ, "GW_CONFIG": str(tmp_path / "config.json"), "GW_LISTEN": f"127.0.0.1:{port}",
+        "GW_DISCOVERY": discovery,
+    }  # fmt: skip
     run = subprocess.Popen(
         [*before, sys.executable, "-O", "-m", "tansyladder"], env=env, stderr=subprocess.PIPE
     )
@@ -342,3 +358,124 @@
     assert len(closed) == 1
     os.close(closed[0])
     front.stop_listening()
+
+
+class Roster:
+    """A scripted discovery that tells one list and keeps what it was asked."""
+
+    def __init__(self, revision: int, *members: dict[str, object]) -> None:
+        self.calls: list[str] = []
+        self.ended = threading.Event()
+        self.body = json.dumps({"revision": revision, "complete": True, "members": members})
+        self.listener = Listener(self._serve)
+        self.address = self.listener.address
+
+    def _serve(self, peer: Peer) -> None:
+        first = True
+        while call := peer.hear():
+            self.calls.append(call)
+            while peer.hear():
+                pass
+            if "since" in call and not first:
+                break  # a watch that nothing ends but the node
+            first = False
+            peer.sock.sendall(
+                f"HTTP/1.1 200 OK\r\nContent-Length: {len(self.body)}\r\n\r\n{self.body}".encode()
+            )
+        peer.hear()
+        self.ended.set()
+
+
+def test_a_new_address_of_discovery_is_asked_for_its_whole_list(tmp_path: Path) -> None:
+    """The watch on the old one waits up to 6.5 s; it must end at once, and what stands must stay."""
+    host = Listener(up(lambda peer: peer.say(peer.hear())))
+    old = Roster(5, member("s0", host.address))
+    new = Roster(2, member("s0", host.address), member("s7", host.address))
+    seldom = SETTINGS | {"rules": {"ask_within": 10**12}}
+    with node(tmp_path, host, discovery=old.address, settings=seldom) as n:
+        discovery = Discovery(n.core)
+        discovery.start()
+        n.core.watches.put(True)
+        n.core.wait_for(api.Members, 2)
+        client = n.open()
+        assert client.hear() == "UP r1"
+        host_, port = new.address.split(":")
+        assert discovery.switch((host_, int(port)))
+        assert not discovery.switch((host_, int(port)))
+        assert old.ended.wait(5)
+        told_new = n.core.wait_for(api.Members, 3)
+        assert (told_new.kind, told_new.version) == (api.ListKind.FULL, 2)
+        assert n.core.member_of_id("s7") is not None
+        client.say("M 1")
+        assert client.hear() == "M 1"
+        assert new.calls[0] == "GET /v1/servers HTTP/1.1"
+        assert not [e for e in n.core.heard if isinstance(e, api.Members) and e.kind is api.ListKind.FAILED]
+
+
+def test_a_failed_first_call_to_a_new_address_is_tried_again(tmp_path: Path) -> None:
+    """The module would ask again after some seconds; a new address is due its first call well within 4 s."""
+    new = Roster(9, member("s1", "127.0.0.1:9"))
+    failures = iter([True, True])
+
+    def fail_twice(peer: Peer) -> None:
+        if next(failures, None) is None:
+            new._serve(peer)
+
+    flaky = Listener(fail_twice)
+    with node(tmp_path) as n:
+        discovery = Discovery(n.core)
+        discovery.start()
+        host, port = flaky.address.split(":")
+        discovery.switch((host, int(port)))
+        until = time.monotonic() + 10
+        while n.core.member_of_id("s1") is None and time.monotonic() < until:
+            time.sleep(0.01)
+        assert new.calls[0] == "GET /v1/servers HTTP/1.1" and n.core.revision == 9
+
+
+def test_sighup_reads_the_file_and_a_bad_one_changes_nothing(tmp_path: Path) -> None:
+    """Its default action ended the program, at any moment; a half-written file must not either."""
+    host = Listener(up(lambda peer: void(*iter(peer.hear, ""))))
+    old, new = Roster(5, member("s0", host.address)), Roster(2, member("s0", host.address))
+    run, port = start_program(tmp_path, host, discovery=old.address)
+    file = tmp_path / "config.json"
+    with run:
+        assert run.stderr is not None
+        client = client_of(port)
+        assert client.hear() == "UP r1"
+        whole = file.read_text()
+        file.write_text(whole[: len(whole) // 2])
+        run.send_signal(signal.SIGHUP)
+        until_line(run, b"event=reload_failed why=\"GW_CONFIG: not JSON")
+        changed = json.loads(whole) | {"discovery": new.address, "seed": "1"}
+        file.write_text(json.dumps(changed))
+        for _ in range(5):
+            run.send_signal(signal.SIGHUP)
+        until_line(run, b"event=reload_ignored keys=seed")
+        until_line(run, f"event=reloaded discovery={new.address} switched=True".encode())
+        until_line(run, b"event=members revision=2 complete=True")
+        run.send_signal(signal.SIGTERM)
+        for _ in range(5):
+            run.send_signal(signal.SIGHUP)
+        assert client.hear() == "MOVE"
+        client.close()
+        assert run.wait(5) == 0
+
+
+def test_a_sighup_before_the_program_is_ready_is_not_fatal(tmp_path: Path) -> None:
+    """The interpreter's own start takes a while, before any line of the program can block the signal."""
+    deploy = Path(__file__).parent.parent / "deploy" / "balancer.toml"
+    command = tomllib.loads(deploy.read_text())["run"].replace(".venv/bin/python", sys.executable)
+    told(tmp_path)
+    env = {**os.environ, "GW_CONFIG": str(tmp_path / "config.json")}
+    run = subprocess.Popen(["/bin/sh", "-c", command], env=env, stderr=subprocess.PIPE)
+    with run:
+        started = threading.Thread(target=until_line, args=(run, b"event=started"))
+        while Path(f"/proc/{run.pid}/cmdline").read_bytes().startswith(b"/bin/sh"):
+            time.sleep(0.001)  # the signal goes to the program, not to the shell before it
+        started.start()
+        while started.is_alive():
+            run.send_signal(signal.SIGHUP)
+            time.sleep(0.002)
+        run.send_signal(signal.SIGTERM)
+        assert run.wait(10) == 0
