Take no connection for silent before it is 50 ms old; ask discovery at once at a start

Now nobody is closed for being silent before 50 ms; meanwhile the next ones wait in the listener's queue. The bound is a sixth of the descriptors (it was a tenth), which leaves room for a third of them as clients.

--- a/tansyladder/net/discovery.py
+++ b/tansyladder/net/discovery.py
@@ -33,11 +33,13 @@
         self._lock = threading.Lock()
         self._http = HttpClient(core.config.discovery)
         self._address = core.config.discovery
-        self._new = False  # whether this address has yet to tell its whole list
+        self._new = True  # whether this address has yet to tell its whole list
         self._retry = SPREAD
         self._decoder = msgspec.json.Decoder(MemberList)
 
     def start(self) -> None:
+        # The module spreads its first watch over seconds; a node that comes back has an old list until then.
+        self._core.watch()
         threading.Thread(target=self._run, name="discovery", daemon=True).start()
 
     def switch(self, to: Address) -> bool:
--- a/tansyladder/net/virtual_server.py
+++ b/tansyladder/net/virtual_server.py
@@ -24,7 +24,10 @@
 GONE = timedelta(seconds=2.3)
 PINGS = timedelta(seconds=60)  # between two PINGs of the front on one connection
 MOST_PINGS = 20  # at once, and in a second: a front asks and waits for the answer
-STOCK = timedelta(milliseconds=50)  # between two looks for whose time is up
+STOCK = timedelta(milliseconds=20)  # between two looks for whose time is up
+# A connection this young has its line on the way: where too many come at once, the next ones wait in the
+# listener's queue for so long, and only then is one silent.
+YOUNG = timedelta(milliseconds=50)
 BATCH = 16  # connections taken in before those that are there are heard
 SINK = 1 << 16
 SPARE = 20  # descriptors for the listener, discovery, probes, logs and the configuration
@@ -41,11 +44,13 @@
 class Newcomer:
     """A connection that has not sent a valid OPEN."""
 
-    __slots__ = ("buffer", "end_by", "gone_by", "pings", "pings_from", "read_away", "sock", "spoke", "told")
+    __slots__ = (
+        "buffer", "came", "end_by", "gone_by", "pings", "pings_from", "read_away", "sock", "spoke", "told",
+    )  # fmt: skip
 
     def __init__(self, sock: socket.socket) -> None:
-        self.sock, self.buffer = sock, protocol.LineBuffer()
-        self.end_by, self.gone_by = now() + FIRST_LINE, now() + GONE
+        self.sock, self.buffer, self.came = sock, protocol.LineBuffer(), now()
+        self.end_by, self.gone_by = self.came + FIRST_LINE, self.came + GONE
         self.spoke = False  # whether a byte has come
         self.told = False  # whether it has its answer, and only its own end is waited for
         self.read_away = 0
@@ -67,6 +72,7 @@
     def __init__(self, listener: socket.socket, most: int, server: VirtualServer) -> None:
         self._listener, self._most, self._server = listener, most, server
         self._newcomers: dict[int, Newcomer] = {}
+        self._paused = False
         self._poll = select.poll()
         self._sink = bytearray(SINK)
         # Kept for the moment when no descriptor is left: a full table must not leave clients unanswered.
@@ -89,6 +95,7 @@
                 stock = now()
                 for newcomer in list(self._newcomers.values()):
                     self._look(newcomer, stock)
+                self._pause(False)
         for newcomer in list(self._newcomers.values()):
             self._close(newcomer)
 
@@ -97,6 +104,9 @@
     def _take_in(self) -> bool:
         """Take a few connections in; False once the listener is shut down."""
         for _ in range(BATCH):
+            if len(self._newcomers) >= self._most and not self._make_room():
+                self._pause(True)
+                return True
             try:
                 sock, _ = self._listener.accept()
             except BlockingIOError:
@@ -108,27 +118,34 @@
                 if err.errno in (errno.EMFILE, errno.ENFILE):
                     self._out_of_descriptors()
                 return True
-            if len(self._newcomers) >= self._most:
-                self._make_room()
             newcomer = self._newcomers[sock.fileno()] = Newcomer(sock)
             self._poll.register(sock, select.POLLIN)
             self._guarded(newcomer)  # most lines are there already
         return True
 
-    def _make_room(self) -> None:
-        """The oldest one that has its answer goes, else the oldest silent one."""
+    def _pause(self, on: bool) -> None:
+        """Leave who comes in the listener's queue, or look there again."""
+        if on is not self._paused:
+            self._paused = on
+            with contextlib.suppress(OSError):  # it was shut down
+                self._poll.modify(self._listener, 0 if on else select.POLLIN)
+
+    def _make_room(self) -> bool:
+        """The oldest one that has its answer goes, else the oldest silent one; False where all are young."""
         oldest = min(self._newcomers.values(), key=lambda n: n.rank)
         if not oldest.told:
+            if now() - oldest.came < YOUNG:
+                return False
             self._guarded(oldest)  # its line may be there unread
         if self._newcomers.get(oldest.sock.fileno()) is oldest:
             if not oldest.told:
                 log("reject", why="silent")
             self._close(oldest)
+        return True
 
     def _out_of_descriptors(self) -> None:
         """A newcomer goes; where there is none, the reserved one takes a client in to be turned away."""
-        if self._newcomers:
-            self._make_room()
+        if self._newcomers and self._make_room():
             return
         if self._reserve >= 0:
             os.close(self._reserve)
@@ -236,7 +253,7 @@
         self._lock = threading.Lock()
         self._open: set[str] = set()  # the ids of the connections that are served
         sockets_ = core.config.limits.sockets
-        newcomers = max(8, min(128, sockets_ // 10))
+        newcomers = max(8, min(128, sockets_ // 6))
         self._descriptors = sockets_ - SPARE - newcomers
         settings = core.config.settings
         most = settings.max_retry_after * MICROSECOND
