Draw servers by a group's hash, and neither pile up set-ups nor refuse on a guess

Others were refused with no server tried: with one member late and emptied, choice._headroom put all others over the pool's mean and under no headroom, though nothing bad was heard of them.

--- a/tansyladder/choice.py
+++ b/tansyladder/choice.py
@@ -27,6 +27,8 @@
 SHARED = 0.5  # share of failing set-ups from which the cause is shared: no single server fails most of them
 EVEN_STRAIN = 0.6  # strain taken for a server that carries the mean, where nobody reports
 SLOWED = 1.7  # times its best from which a probe's answer is slow: it takes up to 1.3 times at a fair load
+LEAST = 0.05  # headroom of a server of which nothing bad is heard, where probes are all that tells
+PARALLEL = 8  # set-ups out at a server from one node there: more only wait, and time out at work done
 IDLE = 0.5  # part of its best under which an answer comes from a member that does none of its work
 SURE = 8  # answers from which a best is known so well that one far under it is no better best
 HICCUP = 3000  # us over its best that a probe may take by chance, on a server whose answers come quickly
@@ -102,12 +104,15 @@
     """A request that this node holds, or a connection that stands."""
 
     __slots__ = (
-        "id", "cls", "tenant", "deadline", "key", "load", "sent", "server", "up", "done", "backoff", "ran",
-        "ran_at", "sample", "asking", "due",
+        "id", "cls", "tenant", "deadline", "key", "group", "load", "sent", "server", "up", "done", "backoff",
+        "ran", "ran_at", "sample", "asking", "due",
     )  # fmt: skip
 
-    def __init__(self, rid: int, cls: int, tenant: int, deadline: int, key: int, hint: int | None) -> None:
-        self.id, self.cls, self.tenant, self.deadline, self.key = rid, cls, tenant, deadline, key
+    def __init__(
+        self, rid: int, cls: int, tenant: int, deadline: int, key: int, group: int, hint: int | None
+    ) -> None:
+        self.id, self.cls, self.tenant, self.deadline = rid, cls, tenant, deadline
+        self.key, self.group = key, group
         self.load = float(hint) if hint else 1.0
         self.sent = 0
         self.server: Server | None = None  # where its attempt is out, or its connection stands
@@ -221,7 +226,9 @@
     # --- requests and the back-off
 
     def _request(self, event: api.Request) -> None:
-        r = Request(event.id, event.cls, event.tenant, event.deadline, event.key, event.hint)
+        r = Request(
+            event.id, event.cls, event.tenant, event.deadline, event.key, event.key2, event.hint
+        )
         r.backoff = self.keys.get(event.key) if event.key else None
         self.requests[event.id] = r
         if event.midflow and self.set.pass_through and event.deadline > self.now:
@@ -339,7 +346,8 @@
 
     def _usable(self, s: Server) -> bool:
         """Ready and unmarked; a mark ends in one trial at a time: no storm meets who is still down."""
-        return s.state is State.READY and s.mark.at <= self.now and not (s.mark.n and s.trying)
+        most = 1 if s.mark.n else PARALLEL if self.set.probe_pace else math.inf
+        return s.state is State.READY and s.mark.at <= self.now and s.trying < most
 
     def _allowed(self, s: Server, r: Request) -> bool:
         """Whether the effect rule lets another attempt go to this server."""
@@ -403,16 +411,19 @@
             strain = s.strain + self._added(s)
         else:
             strain = pool.tide * (s.load / (s.size * share) / pool.mean if pool.mean else 1.0)
+            if self.set.probe_pace:  # a guess ranks servers, but turns nobody away where nothing bad is heard
+                strain = min(strain, LIMIT - LEAST)
         if self.now - s.delay_at < self.patience:
             strain = max(strain, s.delay / self.message_aim)
         return float(s.size * share * max(0.0, LIMIT - strain) ** 2)
 
     def _order(self, s: Server, r: Request, weight: float) -> float:
-        """A server's place in a weighted random draw; where packets pass through, all nodes draw alike."""
-        if self.set.pass_through and r.key:
-            u = (mix(r.key ^ s.seed) + 1) / (MASK + 2)
-        else:
-            u = 1.0 - self.rng.random()
+        """A server's place in a weighted random draw; where packets pass through, all nodes draw alike.
+
+        So they do for the connections of a group: each server that holds any of it does the group's work.
+        """
+        what = r.key if self.set.pass_through and r.key else r.group
+        u = (mix(what ^ s.seed) + 1) / (MASK + 2) if what else 1.0 - self.rng.random()
         return -math.log(u) / weight
 
     def _sample(self, pool: Pool, r: Request, most: int) -> list[Server]:
@@ -487,7 +498,7 @@
             self.keys.pop(r.key, None)
 
     def _opened(self, event: api.Opened) -> None:
-        r = Request(event.id, event.cls, event.tenant, 0, event.key, event.hint)
+        r = Request(event.id, event.cls, event.tenant, 0, event.key, 0, event.hint)
         s = self.servers.get(event.server)
         self.requests[event.id] = r
         r.up, r.sent, r.server = True, 1, s
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -262,3 +262,17 @@
         acts = node.run(node.now + 200 * MS) + node.ask(key=k)[1]
         sent |= {a.server for a in acts if isinstance(a, Send)}
     assert sent == {9}
+
+
+def test_a_groups_connections_share_servers_at_every_node() -> None:
+    """Each server that holds any of a group does its work: at random, every one did that of every group."""
+    fleet = [line(i) for i in range(1, 9)] + [line(i, zone=1) for i in range(11, 19)]
+    used = set()
+    for group in range(1, 11):
+        chosen = set()
+        for seed in (1, 2, 3):
+            node = Node(fleet, seed)
+            chosen |= {only_send(node.ask(key=k, key2=group)[1]).server for k in range(1, 4)}
+        assert len(chosen) <= 3 and max(chosen) < 10  # at random five to seven; the home zone first
+        used |= chosen
+    assert len(used) > 4  # groups differ in their servers
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from tansyladder.interface import Move, Opened, Probe, Probed, Status
+from tansyladder.interface import First, Move, Opened, Probe, Probed, Send, Status
 from tests.helpers import MS, START, Node, S, line
 
 
@@ -76,3 +76,29 @@
     answer(node, 5 * MS)
     assert node.node.servers[1].delay == 0
     assert not [a for a in node.run(node.now + 3 * S) if isinstance(a, Move)]
+
+
+def test_a_crowd_waits_at_the_node_and_not_at_a_member() -> None:
+    """After a restart all clients come at once; what timed out in a member's queue had cost it its work."""
+    node = Node([line(1), line(2)], probes=True, probe_pace=S)
+    for key in range(1, 61):
+        node.ask(key=key)
+    assert [node.node.servers[i].trying for i in (1, 2)] == [8, 8]
+    answered = [a for _, a in node.log if isinstance(a, Send)][:4]
+    for send in answered:
+        node.give(First(send.id, 0, send.server, MS))
+    assert len([a for a in node.run(node.now + 100 * MS) if isinstance(a, Send)]) == 4  # those held come in
+
+
+def test_a_guess_at_the_load_turns_nobody_away() -> None:
+    """With one member late and emptied the others looked overloaded beside the mean: all were refused."""
+    node = Node([line(1), line(2), line(3)], probes=True, probe_pace=S)
+    node.give(*(Opened(100 + i, 0, 0, 1) for i in range(30)), *(Opened(200 + i, 0, 0, 2) for i in range(9)))
+    node.node.servers[3].mark.at = node.now + 10 * S
+    node.node.servers[1].mark.at = node.now + 10 * S
+    _, acts = node.ask(key=9)
+    assert [a.server for a in acts if isinstance(a, Send)] == [2]
+    node.node.servers[2].mark.at = node.now + 10 * S
+    node.node.servers[1].mark.at = 0
+    _, acts = node.ask(key=10)
+    assert [a.server for a in acts if isinstance(a, Send)] == [1]  # twice the mean, but nothing bad heard
