--- a/tansyladder/net/flow.py
+++ b/tansyladder/net/flow.py
@@ -77,6 +77,13 @@
         buffer = protocol.LineBuffer()
         while True:
             ready = sockets.wait_readable(self._until, sock.fileno(), client.fileno(), box.fileno())
+            if client.fileno() in ready:
+                # Before the answer is looked at: who spoke before UP is not served as if nothing had been said.
+                # A client that ends its side, or whose connection broke, has left.
+                with contextlib.suppress(OSError):
+                    if client.recv(1, socket.MSG_PEEK):
+                        return Answer(Status.CANCELLED, client_spoke=True)
+                return Answer(Status.CANCELLED, client_left=True)
             if sock.fileno() in ready:
                 data = sock.recv(sockets.CHUNK)
                 if not data:
@@ -89,12 +96,6 @@
                 if lines:
                     return self._read(sock, buffer, lines)
                 continue
-            if client.fileno() in ready:
-                # A client that ends its side, or whose connection broke, has left.
-                with contextlib.suppress(OSError):
-                    if client.recv(1, socket.MSG_PEEK):
-                        return Answer(Status.CANCELLED, client_spoke=True)
-                return Answer(Status.CANCELLED, client_left=True)
             if box.fileno() in ready:
                 if isinstance(box.first(), api.Refuse):
                     return Answer(Status.CANCELLED)  # the node itself ends the transaction, and reads why
--- a/tansyladder/net/relay.py
+++ b/tansyladder/net/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import select
 import socket
 from collections.abc import Callable
 from datetime import timedelta
@@ -10,7 +11,7 @@
 from tansyladder.interface import Status
 from tansyladder.log import log
 from tansyladder.net import protocol, sockets
-from tansyladder.net.clock import now
+from tansyladder.net.clock import now, seconds_left
 from tansyladder.net.core import Mailbox
 
 SILENT = timedelta(seconds=4.5)  # of a line unanswered; with 2 s between lines, under 7 s in all
@@ -34,6 +35,9 @@
         self._client, self._member, self._box, self._heard = client, member, box, heard
         self._name = name
         self._to_client, self._to_member = buffer, protocol.LineBuffer()
+        self._open = {client, member}  # the sides that have not ended
+        self._waiting = {client: b"", member: b""}  # whole lines that a side has not taken yet
+        self._took = {client: now(), member: now()}  # when it last took any
         self._asked: timedelta | None = None  # when the oldest line went out that nothing has come back for
         self._told = timedelta(0)  # when the oldest of them was last counted as overdue
         self._last_word = b""
@@ -50,6 +54,8 @@
             self._last_word = protocol.word_of(first[-1])  # UP and BYE may come in one read
             with contextlib.suppress(OSError):  # a client that left is met again in the first read
                 self._client.sendall(b"".join(first))
+            for side in (self._client, self._member):
+                side.settimeout(None)  # with a time-out Python waits before each call, whatever its flags say
             return self._pass()
         except protocol.LineError as err:
             log("bad_line", where="relay", why=err)
@@ -61,8 +67,7 @@
 
     def _pass(self) -> Status:
         until_end: timedelta | None = None
-        open_sides = {self._client, self._member}
-        while open_sides:
+        while self._open:
             order = self._box.take()
             if order is not None and self._ended is None:
                 return self._move(Status.CANCELLED)
@@ -71,38 +76,81 @@
             if self._overdue() and self._ended is None:
                 log("silent_flow", member=self._name)
                 return self._move(Status.TIMEOUT)
-            wait = until_end or now() + (OVERDUE if self._asked else IDLE)
-            ready = sockets.wait_readable(wait, *(s.fileno() for s in open_sides))
-            for side in [s for s in (self._member, self._client) if s in open_sides and s.fileno() in ready]:
+            if self._stuck():
+                return self._reset_both()
+            ready = self._wait(until_end or now() + (OVERDUE if self._asked else IDLE))
+            for side in (self._member, self._client):
                 other = self._client if side is self._member else self._member
                 try:
-                    data = side.recv(sockets.CHUNK)
-                    if side is self._member and not data and self._box.first() is not None:
-                        break  # it is the nudge, not the member's end
+                    if self._waiting[side] and side.fileno() in ready:
+                        self._flush(side)
                 except OSError:
                     return self._reset(side, other)
-                if data:
-                    with contextlib.suppress(OSError):
+                # What its other side has not taken yet holds a sender up, and nobody else.
+                if side not in self._open or self._waiting[other] or side.fileno() not in ready:
+                    continue
+                try:
+                    data = side.recv(sockets.CHUNK, socket.MSG_DONTWAIT)
+                except BlockingIOError:
+                    continue
+                except OSError:
+                    return self._reset(side, other)
+                if side is self._member and not data and self._box.first() is not None:
+                    break  # it is the nudge, not the member's end
+                try:
+                    if data:
                         self._forward(side, other, data)
                         continue
+                    # Half a connection may go on for a moment: the end is passed on in kind.
+                    self._open.discard(side)
+                    self._end(side)
+                    buffer = self._to_client if side is self._member else self._to_member
+                    self._waiting[other] += buffer.rest
+                    self._flush(other)
+                except OSError:
                     return self._reset(other, side)
-                # Half a connection may go on for a moment: the end is passed on in kind.
-                open_sides.discard(side)
-                self._end(side)
-                rest = (self._to_client if side is self._member else self._to_member).rest
-                with contextlib.suppress(OSError):
-                    if rest:
-                        other.sendall(rest)
-                    other.shutdown(socket.SHUT_WR)
                 until_end = until_end or now() + AFTER_END
         # Never `or`: the status of success is 0, and a sound member would be blamed with a reset.
         return Status.CANCELLED if self._ended is None else self._ended
 
+    def _wait(self, until: timedelta) -> set[int]:
+        """Which sides can go on: to be read where the other takes what they say, to be written to else."""
+        poll = select.poll()
+        for side in (self._member, self._client):
+            other = self._client if side is self._member else self._member
+            events = select.POLLIN if side in self._open and not self._waiting[other] else 0
+            events |= select.POLLOUT if self._waiting[side] else 0
+            if events:
+                poll.register(side, events)
+        return {fd for fd, _ in poll.poll(-(-seconds_left(until) * 1000 // 1))}
+
+    def _flush(self, side: socket.socket) -> None:
+        """Write what a side takes now; once all is out, pass the other side's end on."""
+        if self._waiting[side]:
+            with contextlib.suppress(BlockingIOError):
+                sent = side.send(self._waiting[side], socket.MSG_DONTWAIT)
+                self._waiting[side] = self._waiting[side][sent:]
+                self._took[side] = now()
+        other = self._client if side is self._member else self._member
+        if not self._waiting[side] and other not in self._open:
+            side.shutdown(socket.SHUT_WR)
+
+    def _stuck(self) -> bool:
+        """Whether a side has taken nothing for long."""
+        late = now() - sockets.SEND_WAIT
+        return any(waiting and self._took[side] < late for side, waiting in self._waiting.items())
+
+    def _reset_both(self) -> Status:
+        log("stuck_flow", member=self._name)
+        stuck = self._member if self._waiting[self._member] else self._client
+        return self._reset(stuck, self._client if stuck is self._member else self._member)
+
     def _forward(self, side: socket.socket, other: socket.socket, data: bytes) -> None:
         lines = (self._to_client if side is self._member else self._to_member).feed(data)
         if not lines:
             return
-        other.sendall(b"".join(lines))
+        self._waiting[other], self._took[other] = b"".join(lines), now()
+        self._flush(other)
         if side is self._client:
             self._asked = self._asked or now()
             return
@@ -138,7 +186,8 @@
         return Status.RESET if self._ended is None else self._ended
 
     def _move(self, status: Status) -> Status:
-        """Only whole lines have gone out, so MOVE stands between two of them."""
+        """MOVE stands between two lines: what the client has not taken of one goes out before it."""
         self._member.close()
-        sockets.finish(self._client, protocol.MOVE + b"\r\n")
+        sockets.prepare(self._client)
+        sockets.finish(self._client, self._waiting[self._client] + protocol.MOVE + b"\r\n")
         return status
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -580,3 +580,57 @@
             time.sleep(0.002)
         run.send_signal(signal.SIGTERM)
         assert run.wait(10) == 0
+
+
+def test_a_flood_after_up_holds_no_line_back(tmp_path: Path) -> None:
+    """While the relay wrote a flood to a member that answers first, it read nothing of that member."""
+    size = 20_000_000
+
+    def answer_first(peer: Peer) -> None:
+        for _ in range(size // 4000):  # it reads on once its own lines are out
+            peer.say("F" * 3998)
+        peer.say("LAST")
+        for _ in range(size // 4000):
+            peer.hear()
+        peer.say("ALL")
+
+    with node(tmp_path, Listener(up(answer_first), up(lambda peer: peer.say(peer.hear())))) as n:
+        flood = n.open()
+        assert flood.hear() == "UP r1"
+
+        def send() -> None:
+            for _ in range(size // 4000):
+                flood.say("M" * 3998)
+
+        sender = threading.Thread(target=send, daemon=True)
+        sender.start()
+        other = n.open(key="80")
+        assert other.hear() == "UP r1"
+        other.say("M 1")
+        assert other.hear() == "M 1"  # nobody else is held up
+        answers = 0
+        while (line := flood.hear()) != "LAST":
+            assert line == "F" * 3998
+            answers += 1
+        assert answers == size // 4000 and flood.hear() == "ALL"
+        sender.join(10)
+        assert not sender.is_alive()
+
+
+def test_a_second_command_behind_the_first_one_is_an_error(tmp_path: Path) -> None:
+    """In a read of its own it came after admission; with UP there at the same moment it was passed on."""
+    spoken = threading.Event()
+
+    def late(peer: Peer) -> None:
+        peer.hear()
+        assert spoken.wait(5)
+        time.sleep(0.05)
+        peer.say("UP r1")
+        peer.hear()
+
+    with node(tmp_path, Listener(late)) as n:
+        client = n.open()
+        n.core.wait_for(api.Request)
+        client.say("OPEN 77 7f c=chat,d=1200")
+        spoken.set()
+        assert [client.hear(), client.hear()] == ["ERR", ""]
