--- a/tansyladder/net/flow.py
+++ b/tansyladder/net/flow.py
@@ -78,7 +78,7 @@
         while True:
             ready = sockets.wait_readable(self._until, sock.fileno(), client.fileno(), box.fileno())
             if client.fileno() in ready:
-                # Before the answer is looked at: who spoke before UP is not served as if nothing had been said.
+                # Before the answer is looked at: who spoke before UP is not served as if it had not.
                 # A client that ends its side, or whose connection broke, has left.
                 with contextlib.suppress(OSError):
                     if client.recv(1, socket.MSG_PEEK):
