Mark a member at its first failure again: two strikes cost more than they gave

So choice._blame is out; what came with it (retries elsewhere, servers that hold the group) stays, with its tests.

--- a/tansyladder/choice.py
+++ b/tansyladder/choice.py
@@ -34,7 +34,6 @@
 SURE = 8  # answers from which a best is known so well that one far under it is no better best
 HICCUP = 3000  # us over its best that a probe may take by chance, on a server whose answers come quickly
 BLAMED = (Status.FULL, Status.TIMEOUT, Status.CONNECT_FAILED, Status.RESET, Status.ERROR)
-CHANCE = (Status.CONNECT_FAILED, Status.RESET, Status.ERROR)  # a sound server's connection may end so too
 MASK = (1 << 64) - 1
 
 
@@ -60,8 +59,7 @@
     __slots__ = (
         "id", "zone", "cell", "size", "state", "ready_at", "told_at", "seed", "mark", "strain", "strain_at",
         "added", "added_at", "delay", "delay_at", "conns", "load", "trying", "credit", "credit_at", "moves",
-        "moving", "probing", "waiting", "best", "doubt", "timed", "blamed_at",
-        "groups",
+        "moving", "probing", "waiting", "best", "doubt", "timed", "groups",
     )  # fmt: skip
 
     def __init__(self, line: api.Line, now: int) -> None:
@@ -81,7 +79,6 @@
         """Forget what was learnt of an earlier process."""
         self.ready_at = ready_at
         self.mark = Backoff()
-        self.blamed_at = -(1 << 62)  # its last failure that no success has followed
         self.strain, self.strain_at = 0.0, -1
         self.delay, self.delay_at = 0.0, -1
         self.added, self.added_at = 0.0, 0  # strain of what this node sent since reports could show it
@@ -479,15 +476,6 @@
 
     # --- what comes of an attempt
 
-    def _blame(self, s: Server, status: Status) -> None:
-        """A failure that may be chance, or the network's, marks a server only when the next one follows."""
-        alone = self.now - s.blamed_at > self.patience
-        s.blamed_at = self.now
-        if not alone or status not in CHANCE or not self.set.probe_pace:
-            self._mark(s)
-        elif self.set.probes:
-            self._ask(s)
-
     def _mark(self, s: Server) -> None:
         """Leave a server out for an interval that doubles with each failure, then try it again."""
         if s.mark.at <= self.now:
@@ -501,7 +489,6 @@
             r.up = True
             self.ill -= self.ill / MEMORY
             r.server.trying -= 1
-            r.server.blamed_at = -(1 << 62)
             self._hold_for(r.tenant, 1)
         if r.server.delay_at < self.now - self.patience:
             r.server.mark.n = 0
@@ -548,7 +535,7 @@
         r = self.requests.get(event.id)
         s = self.servers.get(event.server)
         if s and event.status in BLAMED:
-            self._blame(s, event.status)
+            self._mark(s)
         if s and event.load:
             self._report(s, event.load)
         if r is None:
@@ -591,7 +578,7 @@
         if event.status is Status.OK:
             self._report(s, event.load)
         elif event.status is not Status.FULL:
-            self._blame(s, event.status)
+            self._mark(s)
         waiting, s.waiting = s.waiting, []
         for rid in waiting:
             r = self.requests.get(rid)
