--- /dev/null
+++ b/deploy/settings.example.sexp
@@ -0,0 +1,14 @@
+; The operator's own settings, read with `tansyladder serve --settings FILE`. Without such a file everything
+; here is off, as on the platform. `tansyladder check FILE` names a fault with its path.
+
+(resume                     ; sessions that go on after a break or at another stream host
+  (enabled true)
+  (expires "30 s")          ; of a token, and of a session that waits for its client: 1 s to 1 h
+  (buffer "64 KiB")         ; each way of a session, for what is not acknowledged
+  (memory_share 0.125)      ; of limits.memory_mb, for all buffers together
+  (parked 256)              ; sessions that may wait for their clients at once
+  (remembered 4096)         ; ended ones whose reason is still told
+  ; (keys (2 "64 hexadecimal digits") (1 "…")) ; the first seals, all open; none: one drawn at the start.
+  )                         ; keys are the one thing here that SIGHUP puts in force
+
+(log (json false))          ; one JSON object a line
--- a/tansyladder/__main__.py
+++ b/tansyladder/__main__.py
@@ -1,62 +1,19 @@
-"""The real node: start, signals, exit code."""
+"""`python -m tansyladder`: without words the node, as the platform starts it; with words the command line."""
 
 from __future__ import annotations
 
-import os
-import signal
 import sys
-import threading
-
-# Bytes of each thread's stack. Little of it is touched: on days of 37 and of 330 descriptors the node took
-# 9 and 13 MB, so a standing connection with its thread costs some 27 KB.
-STACK = 256 * 1024
-SWITCH = 0.001  # seconds a busy thread may hold the interpreter while another one waits
-SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 def main() -> int:
-    """Run until a signal ends it, then drain."""
-    # Every thread inherits it; this one waits for them. It comes before the imports, which take a while: the
-    # default action of a SIGHUP is to end the program. Until here the shell's trap of `run` ignores it.
-    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
-    signal.signal(signal.SIGHUP, lambda *_: None)  # an ignored one might not even wait
-
-    from tansyladder import config
-    from tansyladder.log import log
-    from tansyladder.net.core import Core
-    from tansyladder.net.discovery import Discovery
-    from tansyladder.net.probe import Prober
-    from tansyladder.net.reload import Reloader
-    from tansyladder.net.virtual_server import VirtualServer
-
-    try:
-        told = config.load(os.environ)
-    except config.ConfigError as err:
-        print(f"event=bad_config why={err}", file=sys.stderr)
-        return 2
-    threading.stack_size(STACK)
-    sys.setswitchinterval(SWITCH)
-    threading.excepthook = lambda args: log("internal_error", why=repr(args.exc_value))
-    core = Core(told)
-    try:
-        front = VirtualServer(core)
-    except OSError as err:
-        print(f"event=bad_config why=GW_LISTEN: {err}", file=sys.stderr)
-        return 2
-    core.start()
-    discovery = Discovery(core)
-    discovery.start()
-    Prober(core).start()
-    front.start()
-    reloader = Reloader(os.environ, told, discovery)
-    reloader.start()
-    log("started", name=told.name, members=len(told.known.members), sockets=told.limits.sockets)
-    while (got := signal.sigwait(SIGNALS)) == signal.SIGHUP:
-        reloader.ask()  # read elsewhere: a SIGTERM meanwhile must not wait for a slow disk
-    reloader.stop()
-    log("stopping", signal=signal.Signals(got).name)
-    front.drain()
-    return 0
+    """The exit code."""
+    if len(sys.argv) == 1:
+        from tansyladder.serve import serve
+
+        return serve()
+    from tansyladder.cli import main as command_line
+
+    return command_line()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tansyladder/cli.py
@@ -0,0 +1,56 @@
+"""The command line: `serve`, `check` and the lab's commands; on click, which the node never imports."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import click
+
+EXISTING = click.Path(path_type=Path)
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+def commands() -> None:
+    """A balancer node for long-lived connections, and its tools."""
+
+
+@commands.command()
+@click.option("--settings", type=EXISTING, help="the operator's settings, S-expressions as in deploy/")
+def serve(settings: Path | None) -> None:
+    """Run the node that GW_CONFIG describes, until SIGTERM."""
+    from tansyladder.serve import serve as run
+
+    sys.exit(run(settings))
+
+
+@commands.command()
+@click.argument("file", type=EXISTING)
+def check(file: Path) -> None:
+    """Read a configuration (.json) or an operator's settings (else); exit code 2 names the fault."""
+    from tansyladder import config, options
+
+    try:
+        if file.suffix == ".json":
+            told = config.load({"GW_CONFIG": str(file)})
+            click.echo(f"{file}: sound: node {told.name}, {len(told.known.members)} members known")
+        else:
+            options.load(file)
+            click.echo(f"{file}: sound")
+    except (config.ConfigError, options.OptionsError) as err:
+        click.echo(f"{file}: {err}", err=True)
+        sys.exit(2)
+
+
+@commands.group()
+def lab() -> None:
+    """Stand-ins for all that a node meets, on loopback, and measurements among them."""
+
+
+def main() -> int:
+    """The exit code; 2 where the words make no sense."""
+    from tansyladder.lab import commands as lab_commands
+
+    lab_commands.add_to(lab)
+    commands(prog_name="tansyladder")
+    return 0
--- /dev/null
+++ b/tansyladder/lab/commands.py
@@ -0,0 +1,95 @@
+"""The lab's commands."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import sys
+from collections.abc import Coroutine
+from typing import Any
+
+import click
+
+from tansyladder.lab import comeback, cost, drain
+from tansyladder.lab.hosts import Host
+from tansyladder.lab.scene import scene
+
+SWITCH = click.Choice(["on", "off"])
+
+
+def _show(result: dict[str, Any], as_json: bool) -> None:
+    if as_json:
+        click.echo(json.dumps(result))
+    else:
+        for name, value in result.items():
+            click.echo(f"{name:24} {value}")
+
+
+def _play(run: Coroutine[Any, Any, dict[str, Any]], as_json: bool) -> None:
+    """Run, show, and end with 1 where a rule was broken."""
+    result = asyncio.run(run)
+    _show(result, as_json)
+    sys.exit(1 if any(result.get(rule) for rule in drain.RULES) else 0)
+
+
+@click.command("drain")
+@click.option("--sessions", default=300, show_default=True, type=click.IntRange(1, 3000))
+@click.option("--hosts", default=4, show_default=True, type=click.IntRange(2, 50))
+@click.option("--seed", default=1, show_default=True)
+@click.option("--resume", default="on", show_default=True, type=SWITCH)
+@click.option("--style", default="told", show_default=True, type=click.Choice(drain.STYLES))
+@click.option("--json", "as_json", is_flag=True, help="one JSON object")
+def drain_command(sessions: int, hosts: int, seed: int, resume: str, style: str, as_json: bool) -> None:
+    """Put all sessions on one host, drain it, and see where they go on and what they miss."""
+    _play(drain.drain(sessions, hosts, seed, resume == "on", style), as_json)
+
+
+@click.command("return")
+@click.option("--sessions", default=300, show_default=True, type=click.IntRange(1, 3000))
+@click.option("--hosts", default=4, show_default=True, type=click.IntRange(1, 50))
+@click.option("--seed", default=1, show_default=True)
+@click.option("--resume", default="on", show_default=True, type=SWITCH)
+@click.option("--share", default=0.5, show_default=True, type=click.FloatRange(0.01, 1))
+@click.option("--json", "as_json", is_flag=True, help="one JSON object")
+def return_command(sessions: int, hosts: int, seed: int, resume: str, share: float, as_json: bool) -> None:
+    """Break a share of the clients' connections at one moment, and see them come back."""
+    _play(comeback.come_back(sessions, hosts, seed, resume == "on", share), as_json)
+
+
+@click.command("cost")
+@click.option("--sessions", default=[100, 1000], multiple=True, type=click.IntRange(1, 3000))
+@click.option("--hosts", default=4, show_default=True, type=click.IntRange(1, 50))
+@click.option("--seed", default=1, show_default=True)
+def cost_command(sessions: tuple[int, ...], hosts: int, seed: int) -> None:
+    """Measure what a session costs the node, with resuming and without; one JSON object a line."""
+    for count in sessions:
+        click.echo(json.dumps(asyncio.run(cost.cost(count, hosts, seed))))
+
+
+@click.command("up")
+@click.option("--hosts", default=3, show_default=True, type=click.IntRange(1, 50))
+@click.option("--resume", default="on", show_default=True, type=SWITCH)
+def up_command(hosts: int, resume: str) -> None:
+    """Start stand-in hosts, a discovery and a node, and say how to talk to them; until Ctrl-C."""
+    asyncio.run(_up(hosts, resume == "on"))
+
+
+async def _up(hosts: int, resumes: bool) -> None:
+    end = asyncio.Event()
+    for name in (signal.SIGINT, signal.SIGTERM):
+        asyncio.get_running_loop().add_signal_handler(name, end.set)
+    async with scene(1, ["sound"] * hosts, resumes, make=lambda w, i, b: Host(w, i, b, period=2.0)) as whole:
+        offer = ",rs=1" if resumes else ""
+        click.echo(f"the node listens on 127.0.0.1:{whole.node.port}; its log is {whole.node.log}")
+        click.echo(f"connect with: nc -C 127.0.0.1 {whole.node.port}")
+        click.echo(f"and type:     OPEN 1 7f c=viewport,d=1200,g=5c{offer}")
+        click.echo("it answers UP and the host's frames; say M 1, M 2, ... and see them counted.")
+        click.echo(f"hosts: {', '.join(f'{h.ident} at {h.address}' for h in whole.hosts)}. Ctrl-C ends it.")
+        await end.wait()
+
+
+def add_to(group: click.Group) -> None:
+    """Put the lab's commands under their group."""
+    for command in (drain_command, return_command, cost_command, up_command):
+        group.add_command(command)
--- /dev/null
+++ b/tansyladder/lab/node.py
@@ -0,0 +1,110 @@
+"""A real node as a process of its own, with a configuration written for the stand-ins round it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import socket
+import sys
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+from tansyladder.lab.report import clock
+
+START = 20.0  # seconds in which a node must have started
+END = 10.0  # seconds from SIGTERM to its end
+TICK = os.sysconf("SC_CLK_TCK")
+MODULE_SETTINGS: dict[str, Any] = {
+    "family": "conn", "discovery": "on_request", "localities": ["a"], "kinds": ["m"], "locality": 0,
+    "balancers": 1, "me": 0,
+    "classes": [
+        {"name": "viewport", "slo": 300_000, "hard_limit": 1_200_000, "worth": 5.0},
+        {"name": "preview", "slo": 500_000, "hard_limit": 2_000_000, "worth": 1.0},
+    ],
+    "extra": {"message_aim": [250_000, 50_000], "tells_delay": True},
+    "ceilings": {
+        "attempts_cap": 4, "connect_timeout": 75_000, "retry_after": True, "max_retry_after": 1_000_000,
+        "probes": False,  # one event loop plays all hosts: its own lag would pass for theirs
+    },
+    "rules": {
+        "ask_within": 6_000_000, "stop_sending_within": 2_500_000, "cold_from": 0.13, "cold": 23_000_000,
+        "tip_multiple": 3.0, "fall": 1_000_000,
+    },
+}  # fmt: skip
+
+
+class NodeError(Exception):
+    """The node did not start or end as it should; the message holds its log's last lines."""
+
+
+class LabNode:
+    """One node's process; its configuration and log are in a folder of the run."""
+
+    def __init__(self, folder: Path, discovery: str, known: dict[str, Any], settings: str = "") -> None:
+        """`known`: the list it starts with; `settings`: the operator's own, empty for none."""
+        self._folder, self._settings = folder, folder / "settings.sexp" if settings else None
+        with socket.create_server(("127.0.0.1", 0)) as spare:
+            self.port = spare.getsockname()[1]
+        whole = {
+            "name": "lab", "listen": f"127.0.0.1:{self.port}", "discovery": discovery, "seed": "1ab",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 8192}, "known": known,
+            "settings": MODULE_SETTINGS,
+        }  # fmt: skip
+        self.config = folder / "config.json"
+        self.config.write_text(json.dumps(whole, indent=1))
+        if self._settings is not None:
+            self._settings.write_text(settings)
+        self.log = folder / "node.log"
+        self._run: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        """Until it listens."""
+        words = [sys.executable, "-O", "-m", "tansyladder"]
+        if self._settings is not None:
+            words += ["serve", "--settings", str(self._settings)]
+        env = {**os.environ, "GW_CONFIG": str(self.config), "MALLOC_ARENA_MAX": "2"}
+        for name in ("GW_NAME", "GW_LISTEN", "GW_DISCOVERY"):
+            env.pop(name, None)
+        with self.log.open("wb") as out:
+            self._run = await asyncio.create_subprocess_exec(*words, env=env, stderr=out, stdout=out)
+        until = clock() + timedelta(seconds=START)
+        while clock() < until and self._run.returncode is None:
+            if b"event=started" in self.log.read_bytes():
+                return
+            await asyncio.sleep(0.02)
+        raise NodeError(f"the node did not start:\n{self.tail()}")
+
+    async def stop(self) -> int:
+        """SIGTERM, and its exit code; a kill where that does not end it in time."""
+        if self._run is None:
+            return 0
+        if self._run.returncode is None:
+            self._run.terminate()
+            try:
+                await asyncio.wait_for(self._run.wait(), END)
+            except TimeoutError:
+                self._run.kill()
+                await self._run.wait()
+        return self._run.returncode if self._run.returncode is not None else -1
+
+    def tail(self) -> str:
+        """The last lines of its log."""
+        return "\n".join(self.log.read_text(errors="replace").splitlines()[-15:])
+
+    def memory(self) -> int:
+        """Bytes of its own memory that are in use now (RssAnon)."""
+        for line in self._proc("status").splitlines():
+            if line.startswith("RssAnon:"):
+                return int(line.split()[1]) * 1024
+        return 0
+
+    def cpu(self) -> timedelta:
+        """CPU time that it has spent."""
+        fields = self._proc("stat").rpartition(")")[2].split()
+        return timedelta(seconds=(int(fields[11]) + int(fields[12])) / TICK)
+
+    def _proc(self, name: str) -> str:
+        assert self._run is not None
+        return Path(f"/proc/{self._run.pid}/{name}").read_text()
--- /dev/null
+++ b/tansyladder/lab/scene.py
@@ -0,0 +1,112 @@
+"""A scene: stand-in hosts, a discovery, a node and clients, set up and taken down in one place."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import tempfile
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from pathlib import Path
+
+from tansyladder.lab.clients import SAY, Client
+from tansyladder.lab.hosts import Host, World
+from tansyladder.lab.node import LabNode
+from tansyladder.lab.report import Report
+from tansyladder.lab.roster import Roster
+
+RESUME = '(resume (enabled true) (expires "30 s") (parked 2000))\n'
+AT_ONCE = 24  # clients that open at the same time, so that a start is no storm
+
+
+class SceneError(Exception):
+    """What the scene waited for did not come."""
+
+
+class Scene:
+    """All parties of one run."""
+
+    def __init__(self, seed: int, resumes: bool) -> None:
+        self.seed, self.resumes, self.say = seed, resumes, SAY
+        self.report = Report()
+        self.world = World(self.report, seed)
+        self.roster = Roster()
+        self.hosts: list[Host] = []
+        self.clients: list[Client] = []
+        self.node: LabNode
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def join(self, count: int) -> None:
+        """So many more clients, each with a session that stands."""
+        gate = asyncio.Semaphore(AT_ONCE)
+        start = len(self.clients)
+        for number in range(start, start + count):
+            client = Client(self.report, self.node.port, number, self.seed, self.resumes, self.say)
+            self.clients.append(client)
+
+        async def come(client: Client) -> None:
+            async with gate:
+                self._tasks.append(asyncio.ensure_future(client.run()))
+                await asyncio.wait_for(client.up.wait(), 30)
+
+        try:
+            await asyncio.gather(*(come(c) for c in self.clients[start:]))
+        except TimeoutError as err:
+            raise SceneError(f"not all clients got in:\n{self.node.tail()}\n{self.report.text()}") from err
+
+    async def until(self, what: Callable[[], bool], seconds: float) -> bool:
+        """Wait for something, but not for ever; whether it came."""
+        for _ in range(int(seconds / 0.02)):
+            if what():
+                return True
+            await asyncio.sleep(0.02)
+        return what()
+
+    async def settle(self) -> None:
+        """All fall silent; what no host has heard by then is lost."""
+        for client in self.clients:
+            client.quiet = True
+        if not await self.until(lambda: not any(c.unheard() for c in self.clients), 3):
+            for client in self.clients:
+                if client.unheard():
+                    self.report.broken("lines_lost", f"client {client.number}: {client.unheard()} unheard")
+
+    async def close(self) -> None:
+        for client in self.clients:
+            await client.leave()
+        await self.until(lambda: not any(h.held for h in self.hosts), 3)
+        for host in self.hosts:
+            if host.held:
+                self.report.broken("orphans", f"{host.ident}: {len(host.held)}")
+        for task in self._tasks:
+            task.cancel()
+
+
+@contextlib.asynccontextmanager
+async def scene(
+    seed: int,
+    behaviours: Sequence[str],
+    resumes: bool,
+    listed: int | None = None,
+    make: Callable[[World, str, str], Host] | None = None,
+    settings: str | None = None,
+) -> AsyncIterator[Scene]:
+    """Stand-in hosts of these behaviours and a node that knows the first `listed` of them, or all."""
+    whole = Scene(seed, resumes)
+    build = make or (lambda world, ident, behaviour: Host(world, ident, behaviour))
+    with tempfile.TemporaryDirectory(prefix="tansyladder-lab-") as folder:
+        whole.hosts = [build(whole.world, f"s{i}", b) for i, b in enumerate(behaviours)]
+        for host in whole.hosts:
+            await host.start()
+        await whole.roster.start()
+        await whole.roster.tell("up", *whole.hosts[:listed])
+        chosen = (RESUME if resumes else "") if settings is None else settings
+        whole.node = LabNode(Path(folder), whole.roster.address, whole.roster.listed(), chosen)
+        endings: list[Callable[[], Awaitable[object]]] = [whole.node.stop, whole.roster.close]
+        endings += [host.close for host in whole.hosts]
+        try:
+            await whole.node.start()
+            yield whole
+        finally:
+            await whole.close()
+            for ending in endings:
+                await ending()
--- a/tansyladder/log.py
+++ b/tansyladder/log.py
@@ -1,19 +1,65 @@
-"""Log lines of key=value on standard error, with a limit for each kind of event."""
+"""Log lines of key=value (or JSON) on standard error, through structlog, with a limit for each event.
+
+structlog is loaded with the first line that is written, which comes when the node listens already: its import
+takes 60 ms or so and must not add to the time that a restart takes.
+"""
 
 from __future__ import annotations
 
 import contextlib
+import functools
 import json
 import sys
 import threading
 import time
 from datetime import timedelta
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from structlog.typing import EventDict, WrappedLogger
 
 WINDOW = timedelta(seconds=1)
 PER_WINDOW = 20  # lines of one event in a window: a storm of bad input must not fill the disk or the core
+SECRET = frozenset({"token", "rt", "key_bytes"})  # fields that are written as how long they are
+
+_as_json = False
+
+
+def write_json(on: bool) -> None:
+    """From now on lines are JSON objects, or key=value pairs again."""
+    global _as_json
+    _as_json = on
+
+
+class PerWindow:
+    """A processor that lets an event have so many lines in a window and tells later how many it kept back."""
 
-_lock = threading.Lock()
-_seen: dict[str, tuple[timedelta, int, int]] = {}  # event: start of its window, lines in it, lines left out
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._seen: dict[str, tuple[timedelta, int, int]] = {}  # event: window's start, lines, left out
+
+    def __call__(self, logger: WrappedLogger, method: str, event: EventDict) -> EventDict:
+        from structlog import DropEvent
+
+        now, name = timedelta(seconds=time.monotonic()), event["event"]
+        with self._lock:
+            start, lines, left_out = self._seen.get(name, (now, 0, 0))
+            if now - start >= WINDOW:
+                start, lines = now, 0
+            if lines >= PER_WINDOW:
+                self._seen[name] = (start, lines, left_out + 1)
+                raise DropEvent
+            self._seen[name] = (start, lines + 1, 0)
+        if left_out:
+            event["left_out"] = left_out
+        return event
+
+
+def hide_secrets(logger: WrappedLogger, method: str, event: EventDict) -> EventDict:
+    """A processor: of what opens a session to whoever reads it, only the length is written."""
+    for name in SECRET & event.keys():
+        event[name] = f"hidden:{len(str(event[name]))}"
+    return event
 
 
 def _value(value: object) -> str:
@@ -24,20 +70,39 @@
     return text if plain and text else json.dumps(text[:300])
 
 
-def log(event: str, **fields: object) -> None:
-    """Write one line, unless this event has had its lines of this second."""
-    now = timedelta(seconds=time.monotonic())
-    with _lock:
-        start, lines, left_out = _seen.get(event, (now, 0, 0))
-        if now - start >= WINDOW:
-            start, lines = now, 0
-        if lines >= PER_WINDOW:
-            _seen[event] = (start, lines, left_out + 1)
-            return
-        _seen[event] = (start, lines + 1, 0)
-    if left_out:
-        fields["left_out"] = left_out
-    line = " ".join([f"event={event}", *(f"{k}={_value(v)}" for k, v in fields.items())])
+def render(logger: WrappedLogger, method: str, event: EventDict) -> str:
+    """The last processor: one line, `event` first."""
+    if _as_json:
+        return json.dumps({k: v if isinstance(v, int | float) else str(v)[:300] for k, v in event.items()})
+    name = event.pop("event")
+    return " ".join([f"event={name}", *(f"{k}={_value(v)}" for k, v in event.items())])
+
+
+def _print(line: str) -> None:
     with contextlib.suppress(OSError, ValueError):  # whoever read the log is gone: the node goes on
         sys.stderr.write(line + "\n")
         sys.stderr.flush()
+
+
+class _Stderr:
+    """What structlog writes to; looked up at each line, as tests put another stream there."""
+
+    def msg(self, message: str) -> None:
+        _print(message)
+
+
+@functools.cache
+def _logger() -> Any:
+    import structlog
+
+    return structlog.wrap_logger(
+        _Stderr(), processors=[PerWindow(), hide_secrets, render], wrapper_class=structlog.BoundLoggerBase
+    )
+
+
+def log(event: str, **fields: object) -> None:
+    """Write one line, unless this event has had its lines of this second."""
+    from structlog import DropEvent
+
+    with contextlib.suppress(DropEvent):
+        _logger()._proxy_to_logger("msg", event, **fields)
--- a/tansyladder/net/core.py
+++ b/tansyladder/net/core.py
@@ -11,12 +11,13 @@
 import itertools
 import os
 import queue
+import socket
 import threading
 from collections import deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
-from typing import TypeVar
+from typing import TYPE_CHECKING, TypeVar
 
 from tansyladder import interface as api
 from tansyladder.choice import Balancer
@@ -25,6 +26,10 @@
 from tansyladder.must import must_hold
 from tansyladder.net.clock import EPOCH, MICROSECOND, Clock, now
 from tansyladder.net.delays import DelayMeter
+from tansyladder.options import Options
+
+if TYPE_CHECKING:
+    from tansyladder.net.resuming import Resuming
 
 PHASES = {"up": api.State.READY, "draining": api.State.DRAINING, "removed": api.State.GONE}
 Order = api.Send | api.Refuse | api.Fail | api.Cancel | api.Move
@@ -43,6 +48,15 @@
     state: api.State
 
 
+@dataclass(frozen=True, slots=True)
+class Visitor:
+    """A client that came back with a token to the session that it opens."""
+
+    sock: socket.socket
+    position: int  # how many of the stream host's lines it has
+    deadline: timedelta  # by when it wants its answer
+
+
 class Mailbox:
     """What the module tells one transaction; whoever polls on sockets can poll on it as well."""
 
@@ -51,6 +65,8 @@
         self._lock = threading.Lock()
         self._event = -1
         self._nudge: Callable[[], None] | None = None
+        self._visitors: deque[Visitor] = deque()
+        self.standing = False  # whether the transaction's connection stands
 
     def open(self) -> None:
         """Take the descriptor that makes it pollable; raises OSError where none is left."""
@@ -77,9 +93,14 @@
         """The next order, left where it is."""
         return self._orders[0] if self._orders else None
 
-    @property
-    def standing(self) -> bool:
-        return self._nudge is not None
+    def visit(self, visitor: Visitor) -> None:
+        """Hand over a client that comes back to this session, and wake its holder."""
+        self._visitors.append(visitor)
+        self.wake()
+
+    def visitor(self) -> Visitor | None:
+        """The next client that came back, if there is one."""
+        return self._visitors.popleft() if self._visitors else None
 
     def wake(self) -> None:
         with self._lock:  # its own lock: the descriptor or socket can't be closed, and reused, meanwhile
@@ -92,14 +113,24 @@
         """From now on a call wakes the holder: a standing connection costs no descriptor of its own here."""
         with self._lock:
             self._release()
-            self._nudge = nudge
+            self._nudge, self.standing = nudge, True
             if self._orders:
                 nudge()
 
+    def hold(self) -> None:
+        """The connection stands, and its holder goes on polling here, at a descriptor's price."""
+        with self._lock:
+            self.standing = True
+
+    def unhold(self) -> None:
+        """It stands no more; its holder may be about to place it anew."""
+        with self._lock:
+            self.standing = False
+
     def close(self) -> None:
         with self._lock:
             self._release()
-            self._nudge = None
+            self._nudge, self.standing = None, False
 
     def _release(self) -> None:
         if self._event >= 0:
@@ -110,8 +141,12 @@
 class Core:
     """One node's decisions, for any front that brings transactions."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, options: Options | None = None) -> None:
+        """`options`: the operator's; none: all features beyond the platform's protocol are off."""
         self.config = config
+        self.options = options or Options()
+        self.resuming: Resuming | None = None  # where sessions can be resumed
+        self.draining = False  # from SIGTERM on: who has to leave a member leaves this node
         self.clock = Clock()
         self._lock = threading.Lock()
         self._timers: list[tuple[timedelta, int]] = []
@@ -221,6 +256,17 @@
         with self._lock:
             return [n for n, box in self._boxes.items() if box.standing == standing]
 
+    def delay_notes(self, number: int, attempt: int, member: int) -> Callable[[timedelta], None]:
+        """What takes in the delays of a standing connection's messages and tells the module where due."""
+
+        def heard(delay: timedelta) -> None:
+            value = self.delays.heard(member, delay) if self.delays else None
+            if value is not None:
+                ms = value.total_seconds() * 1000
+                self.tell(api.Note(number, api.NoteKind.DELAY, attempt, member, ms))
+
+        return heard
+
     # --- pool members
 
     def member(self, number: int) -> PoolMember:
--- a/tansyladder/net/flow.py
+++ b/tansyladder/net/flow.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import socket
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -35,12 +36,22 @@
     """One attempt of a transaction at a pool member."""
 
     def __init__(
-        self, member: PoolMember, opening: protocol.Opening, until: timedelta, connect: timedelta
+        self,
+        member: PoolMember,
+        first_line: Callable[[timedelta], bytes],
+        until: timedelta,
+        connect: timedelta,
+        lines: int = 1,
     ) -> None:
-        self._member, self._opening, self._until, self._connect = member, opening, until, connect
+        """`first_line`: what the member gets, by how long the node waits; `lines`: that make an answer."""
+        self._member, self._first_line, self._until = member, first_line, until
+        self._connect, self._lines = connect, lines
 
-    def open(self, client: socket.socket, box: Mailbox) -> Answer:
-        """Connect, send the first line and wait for the answer; unless it stands, the socket is closed."""
+    def open(self, client: socket.socket | None, box: Mailbox) -> Answer:
+        """Connect, send the first line and wait for the answer; unless it stands, the socket is closed.
+
+        Without a client nobody's leaving is watched for: its connection stands already, or is gone.
+        """
         sock = self._reach()
         if sock is None:
             return Answer(Status.CONNECT_FAILED)
@@ -66,18 +77,20 @@
             return None
         try:
             sockets.prepare(sock)
-            sock.sendall(self._opening.for_member(self._until - now()))
+            sock.sendall(self._first_line(self._until - now()))
         except OSError as err:
             log("connect_failed", member=self._member.id, why=err)
             sock.close()
             return None
         return sock
 
-    def _ask(self, sock: socket.socket, client: socket.socket, box: Mailbox) -> Answer:
+    def _ask(self, sock: socket.socket, client: socket.socket | None, box: Mailbox) -> Answer:
         buffer = protocol.LineBuffer()
+        heard: list[bytes] = []
+        fds = [sock.fileno(), box.fileno()] + ([client.fileno()] if client else [])
         while True:
-            ready = sockets.wait_readable(self._until, sock.fileno(), client.fileno(), box.fileno())
-            if client.fileno() in ready:
+            ready = sockets.wait_readable(self._until, *fds)
+            if client and client.fileno() in ready:
                 # Before the answer is looked at: who spoke before UP is not served as if it had not.
                 # A client that ends its side, or whose connection broke, has left.
                 with contextlib.suppress(OSError):
@@ -89,12 +102,12 @@
                 if not data:
                     return Answer(Status.RESET)
                 try:
-                    lines = buffer.feed(data)
+                    heard += buffer.feed(data)
                 except protocol.LineError as err:
                     log("bad_answer", member=self._member.id, why=err)
                     return Answer(Status.ERROR)
-                if lines:
-                    return self._read(sock, buffer, lines)
+                if len(heard) >= self._lines or (heard and protocol.word_of(heard[0]) != protocol.UP):
+                    return self._read(sock, buffer, heard)
                 continue
             if box.fileno() in ready:
                 if isinstance(box.first(), api.Refuse):
@@ -107,7 +120,7 @@
     def _read(self, sock: socket.socket, buffer: protocol.LineBuffer, lines: list[bytes]) -> Answer:
         first, *more = lines
         word = protocol.word_of(first)
-        if word == b"UP":
+        if word == protocol.UP:
             return Answer(Status.OK, first, sock, buffer, tuple(more))
         if word not in WORDS:
             log("bad_answer", member=self._member.id, line=first[:80])
--- /dev/null
+++ b/tansyladder/net/placing.py
@@ -0,0 +1,133 @@
+"""Placing one request: the module's choice and server-side flows, one after another, until one stands."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from tansyladder import interface as api
+from tansyladder.interface import Status
+from tansyladder.log import log
+from tansyladder.must import must_hold
+from tansyladder.net import protocol, sockets
+from tansyladder.net.clock import MICROSECOND, now
+from tansyladder.net.core import Core, Mailbox, Order, PoolMember
+from tansyladder.net.flow import Answer, ServerSideFlow
+
+OVERDUE = timedelta(milliseconds=25)  # past the deadline an answer still counts for a little
+
+
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """A connection that stands at a pool member; the module has been told First."""
+
+    member: PoolMember
+    sock: socket.socket
+    buffer: protocol.LineBuffer
+    lines: tuple[bytes, ...]  # the receipt, and what came right behind it
+    attempt: int
+    took: int  # microseconds
+
+    def ended(self, number: int, status: Status) -> api.Outcome:
+        """What the module is told once it is over."""
+        return api.Outcome(number, self.attempt, self.member.number, status, self.took, True)
+
+
+class ClientLeft:
+    """The client went before it had an answer."""
+
+
+class ClientSpoke:
+    """The client sent a line before UP, which the protocol does not allow."""
+
+
+Placed = Standing | api.Refuse | api.Fail | ClientLeft | ClientSpoke
+
+
+@dataclass(slots=True)
+class Placing:
+    """What the attempts of one request have in common."""
+
+    core: Core
+    box: Mailbox
+    number: int
+    deadline: timedelta
+    first_line: Callable[[timedelta], bytes]
+    client: socket.socket | None = None  # whose leaving ends the placing; none: nobody is watched
+    lines: int = 1  # that make a member's answer
+    accept: Callable[[Answer], bool] = lambda answer: True  # whether what stands can be used
+
+    def run(self, request: api.Request) -> Placed:
+        """Follow the module until a flow stands or the request is given up; never two attempts at once."""
+        core, number, attempt = self.core, self.number, 0
+        core.tell(request)
+        while True:
+            match order := self._next_order():
+                case api.Send(_, server, timeout):
+                    member, sent = core.member(server), now()
+                    until = min(sent + timeout * MICROSECOND, self.deadline)
+                    connect = core.config.settings.connect_timeout * MICROSECOND
+                    flow = ServerSideFlow(member, self.first_line, until, connect, self.lines)
+                    answer = flow.open(self.client, self.box)
+                    took = (now() - sent) // MICROSECOND
+                    if answer.sock is not None and answer.buffer is not None:
+                        if self.accept(answer):
+                            core.tell(api.First(number, attempt, server, took))
+                            lines = (answer.receipt, *answer.ready)
+                            return Standing(member, answer.sock, answer.buffer, lines, attempt, took)
+                        answer.sock.close()
+                        answer.status = Status.CANCELLED
+                    if answer.client_left or answer.client_spoke:
+                        end = api.Outcome(number, attempt, server, answer.status, took, True)
+                        core.tell(api.Gone(number), end)
+                        return ClientSpoke() if answer.client_spoke else ClientLeft()
+                    core.tell(api.Outcome(number, attempt, server, answer.status, took, False))
+                    attempt += 1
+                case api.Refuse():
+                    core.tell(api.Gone(number))
+                    return order
+                case api.Fail():
+                    return order
+                case api.Cancel() | api.Move():
+                    pass  # the attempt is over already, or nothing stands yet
+                case ClientLeft() | ClientSpoke():
+                    core.tell(api.Gone(number))
+                    return order
+
+    def _next_order(self) -> Order | ClientLeft | ClientSpoke:
+        """What the module says next, or that the client is gone."""
+        until = self.deadline + OVERDUE
+        fds = [self.box.fileno()] + ([self.client.fileno()] if self.client else [])
+        while True:
+            order = self.box.take()
+            if order is not None and order.id == self.number:
+                return order
+            ready = sockets.wait_readable(until, *fds)
+            if self.client and self.client.fileno() in ready and self.box.first() is None:
+                with contextlib.suppress(OSError):
+                    if self.client.recv(1, socket.MSG_PEEK):
+                        return ClientSpoke()
+                return ClientLeft()
+            if not ready and now() >= until:
+                must_hold(False, "answer_overdue")
+                return api.Refuse(self.number, 0)
+
+
+def request_of(
+    core: Core, number: int, opening: protocol.Opening, deadline: timedelta, back: bool
+) -> api.Request:
+    """What the module is told of a request; `back`: its connection broke or was moved."""
+    hint = None if opening.hint is None else int(opening.hint)
+    return api.Request(
+        number, core.classes[opening.cls], 0, core.clock.micros(deadline), opening.key, opening.group, hint,
+        opening.repeat, False, back,
+    )  # fmt: skip
+
+
+def client_breach(client: socket.socket) -> None:
+    """A line before UP: the client's mistake gets an answer and a log line."""
+    log("bad_line", where="client", why="a second line before UP")
+    sockets.finish(client, protocol.ERR + b"\r\n")
--- a/tansyladder/net/protocol.py
+++ b/tansyladder/net/protocol.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Collection
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -10,7 +11,10 @@
 MILLISECOND = timedelta(milliseconds=1)
 MOST_WAIT = timedelta(seconds=60)  # that a client may ask for
 MOST_STOOD = timedelta(hours=2)  # for what stood before a run: its `d` is no wait that anybody keeps to
-PING, PONG, STATS, ERR, BUSY, BYE, MOVE = b"PING", b"PONG", b"STATS", b"ERR", b"BUSY", b"BYE", b"MOVE"
+PING, PONG, STATS, UP, ERR = b"PING", b"PONG", b"STATS", b"UP", b"ERR"
+BUSY, BYE, MOVE = b"BUSY", b"BYE", b"MOVE"
+# Names in a client's first line, for sessions that can be resumed; where they can't, they mean nothing.
+OFFER, TICKET, POSITION = "rs", "rt", "rp"
 _ID = re.compile(r"[0-9a-f]{1,16}\Z", re.I | re.A)
 _NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?\Z", re.A)  # no sign, no exponent, no inf, no huge one
 _NAME = re.compile(r"[a-z][a-z0-9_]{0,31}\Z", re.A)
@@ -60,10 +64,21 @@
     names: tuple[tuple[str, str], ...]
     start: str  # the line's first words, as they came
 
-    def for_member(self, wait: timedelta) -> bytes:
-        """The line as a pool member gets it: unchanged but for `d`, the time that this node will wait."""
+    @property
+    def told(self) -> dict[str, str]:
+        """The names and values."""
+        return dict(self.names)
+
+    def for_member(
+        self, wait: timedelta, without: Collection[str] = (), added: tuple[tuple[str, str], ...] = ()
+    ) -> bytes:
+        """The line as a pool member gets it: unchanged but for `d`, the time that this node will wait.
+
+        Names that are between the client and this node can be left out, and some of the node's added.
+        """
         left = str(max(1, wait // MILLISECOND))
-        values = ",".join(f"{k}={left if k == 'd' else v}" for k, v in self.names)
+        named = [(k, v) for k, v in self.names if k not in without]
+        values = ",".join(f"{k}={left if k == 'd' else v}" for k, v in (*named, *added))
         return f"{self.start} {values}\r\n".encode()
 
 
--- a/tansyladder/net/relay.py
+++ b/tansyladder/net/relay.py
@@ -13,9 +13,8 @@
 from tansyladder.net import protocol, sockets
 from tansyladder.net.clock import now, seconds_left
 from tansyladder.net.core import Mailbox
+from tansyladder.net.silence import OVERDUE, Question
 
-SILENT = timedelta(seconds=4.5)  # of a line unanswered; with 2 s between lines, under 7 s in all
-OVERDUE = timedelta(milliseconds=250)  # an unanswered line counts as a delay, and again after each such
 IDLE = timedelta(seconds=30)
 AFTER_END = timedelta(milliseconds=800)  # what one side ended, the other has ended within a second
 
@@ -32,14 +31,13 @@
         buffer: protocol.LineBuffer,
         heard: Callable[[timedelta], None],
     ) -> None:
-        self._client, self._member, self._box, self._heard = client, member, box, heard
+        self._client, self._member, self._box = client, member, box
         self._name = name
         self._to_client, self._to_member = buffer, protocol.LineBuffer()
         self._open = {client, member}  # the sides that have not ended
         self._waiting = {client: b"", member: b""}  # whole lines that a side has not taken yet
         self._took = {client: now(), member: now()}  # when it last took any
-        self._asked: timedelta | None = None  # when the oldest line went out that nothing has come back for
-        self._told = timedelta(0)  # when the oldest of them was last counted as overdue
+        self._question = Question(heard)
         self._last_word = b""
         self._ended: Status | None = None  # what the first end of a side makes of the connection
 
@@ -73,12 +71,12 @@
                 return self._move(Status.CANCELLED)
             if until_end is not None and now() >= until_end:
                 break
-            if self._overdue() and self._ended is None:
+            if self._question.silent() and self._ended is None:
                 log("silent_flow", member=self._name)
                 return self._move(Status.TIMEOUT)
             if self._stuck():
                 return self._reset_both()
-            ready = self._wait(until_end or now() + (OVERDUE if self._asked else IDLE))
+            ready = self._wait(until_end or now() + (OVERDUE if self._question.open else IDLE))
             for side in (self._member, self._client):
                 other = self._client if side is self._member else self._member
                 try:
@@ -152,24 +150,11 @@
         self._waiting[other], self._took[other] = b"".join(lines), now()
         self._flush(other)
         if side is self._client:
-            self._asked = self._asked or now()
+            self._question.asked()
             return
         for line in lines:
             self._last_word = protocol.word_of(line)
-            if self._asked is not None and self._last_word not in (b"LOAD", protocol.BYE, protocol.MOVE):
-                # Whatever else waits is taken as answered: one lost reply must not make all later ones late.
-                asked, self._asked = self._asked, None
-                self._heard(now() - asked)
-
-    def _overdue(self) -> bool:
-        """Count a line that waits as a delay; True once the flow counts as silent."""
-        if self._asked is None:
-            return False
-        age = now() - self._asked
-        if age >= OVERDUE and now() - self._told >= OVERDUE:
-            self._told = now()
-            self._heard(age)
-        return age >= SILENT
+            self._question.answered(self._last_word)
 
     def _end(self, side: socket.socket) -> None:
         """The first side to end decides what became of the connection."""
--- /dev/null
+++ b/tansyladder/net/resuming.py
@@ -0,0 +1,112 @@
+"""What a node's sessions share: keys, the ledger, the budget of buffers, and how a client comes back."""
+
+from __future__ import annotations
+
+import hashlib
+import os
+import re
+import socket
+import threading
+from collections.abc import Callable
+from datetime import timedelta
+
+from tansyladder.log import log
+from tansyladder.net import protocol
+from tansyladder.net.clock import now
+from tansyladder.net.core import Core, Mailbox, Visitor
+from tansyladder.net.protocol import OFFER, POSITION, TICKET, Opening
+from tansyladder.options import ResumeOptions
+from tansyladder.resume import words
+from tansyladder.resume.ledger import Ledger
+from tansyladder.resume.stream import Stream
+from tansyladder.resume.tokens import LIFE_BYTES, Binding, Keyring, TokenError
+from tansyladder.resume.window import Budget
+
+BETWEEN = frozenset({OFFER, TICKET, POSITION})  # that no stream host sees
+_POSITION = re.compile(r"[0-9]{1,15}\Z", re.A)
+
+
+class Resuming:
+    """One node's resumable sessions; safe to share between threads."""
+
+    def __init__(self, core: Core) -> None:
+        self._core = core
+        self.options: ResumeOptions = core.options.resume
+        name = core.config.name.encode()[: hashlib.blake2b.MAX_KEY_SIZE]
+        life = hashlib.blake2b(os.urandom(32), digest_size=LIFE_BYTES, key=name).digest()
+        self.keyring = Keyring(life, [(k.id, k.secret) for k in self.options.keys], os.urandom)
+        self.ledger: Ledger[Mailbox] = Ledger(self.options.remembered)
+        self.budget = Budget(int(core.config.limits.memory_mb * (1 << 20) * self.options.memory_share))
+        self._parked = 0
+        self._lock = threading.Lock()
+
+    # --- sessions
+
+    def offered(self, opening: Opening) -> bool:
+        """Whether a client's first line asks for a session that can be resumed."""
+        return opening.told.get(OFFER) == "1" and TICKET not in opening.told
+
+    def stream(self) -> Stream:
+        """A new session's positions; its number is the secret that stream hosts know it by."""
+        return Stream(int.from_bytes(os.urandom(8), "big"), self.budget, self.options.buffer)
+
+    @staticmethod
+    def first_line(opening: Opening, stream: Stream) -> Callable[[timedelta], bytes]:
+        """What a stream host gets, by how long the node waits; each call counts as a placement."""
+        return lambda wait: opening.for_member(wait, BETWEEN, stream.place())
+
+    def token(self, session: int, opening: Opening) -> bytes:
+        """The line that lets a client come back from now on."""
+        expiry = self._core.clock.micros(now() + self.options.expires)
+        text = self.keyring.seal(self.ledger.issue(session, expiry), binding(opening))
+        return words.token(text, self.options.expires // timedelta(milliseconds=1))
+
+    def park(self) -> bool:
+        """Count a session that has lost its client; False where too many wait already."""
+        with self._lock:
+            if self._parked >= self.options.parked:
+                return False
+            self._parked += 1
+            return True
+
+    def unpark(self) -> None:
+        with self._lock:
+            self._parked -= 1
+
+    # --- coming back
+
+    def come_back(
+        self, sock: socket.socket, opening: Opening, arrived: timedelta, take: Callable[[], None]
+    ) -> bytes:
+        """Hand a client with a token to its session's thread, `take` first; else the answer that refuses it.
+
+        Nothing waits here. A refusal changes nothing for the session that stands.
+        """
+        try:
+            if self._core.draining:
+                raise TokenError("draining")
+            position = opening.told.get(POSITION, "")
+            if not _POSITION.match(position):
+                raise protocol.LineError(f"{POSITION}: a position expected")
+            claim = self.keyring.open(opening.told[TICKET], binding(opening))
+            visitor = Visitor(sock, int(position), arrived + opening.wait)
+
+            def deliver(box: Mailbox) -> None:
+                take()
+                box.visit(visitor)
+
+            self.ledger.claim(claim, self._core.clock.micros(arrived), deliver)
+        except TokenError as err:
+            log("resume_refused", why=err.why)
+            return words.refused(err.why)
+        return b""
+
+    def rotate(self, options: ResumeOptions) -> None:
+        """Put the keys of new settings in force."""
+        self.keyring.rotate([(k.id, k.secret) for k in options.keys])
+
+
+def binding(opening: Opening) -> Binding:
+    """What a client must name again when it comes back."""
+    return Binding(opening.cls, opening.group, opening.key)
+
--- /dev/null
+++ b/tansyladder/net/session.py
@@ -0,0 +1,444 @@
+"""One resumable session's life: it stands, moves to another member, waits for its client, and ends.
+
+The session's thread alone reads and writes its sockets. It always holds one of: a client and a flow (it
+stands), a flow alone (parked), neither (adrift: its member was lost while nobody was there). A client that
+comes back is handed over through the mailbox; the old connection is closed before the new one gets a line.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import select
+import socket
+from dataclasses import replace
+from datetime import timedelta
+
+from tansyladder import interface as api
+from tansyladder.interface import Status
+from tansyladder.log import log
+from tansyladder.net import protocol, sockets
+from tansyladder.net.clock import MICROSECOND, now, seconds_left
+from tansyladder.net.core import Core, Mailbox, Visitor
+from tansyladder.net.flow import Answer
+from tansyladder.net.placing import Placing, Standing, request_of
+from tansyladder.net.protocol import Opening
+from tansyladder.net.resuming import Resuming, binding
+from tansyladder.net.silence import OVERDUE, Question
+from tansyladder.resume import words
+from tansyladder.resume.ledger import End
+from tansyladder.resume.stream import Out, Stream
+from tansyladder.resume.window import PositionError
+
+MOVE_WITHIN = timedelta(milliseconds=900)  # a line of a client that stands is held back for a second at most
+ACK_WITHIN = timedelta(seconds=4)
+LOOK = timedelta(seconds=1)  # between two looks of a session adrift for the drain of the node
+LAST_WORDS = timedelta(milliseconds=800)  # what one side ended, the other has ended within a second
+MOST_MOVES = 3  # in a row, without a line of any member between them: a session that kills its hosts ends
+
+
+class Side:
+    """One socket of the session, and what it has not taken yet."""
+
+    __slots__ = ("buffer", "sock", "took", "waiting")
+
+    def __init__(self, sock: socket.socket, buffer: protocol.LineBuffer | None = None) -> None:
+        sock.settimeout(None)  # with a time-out Python waits before each call, whatever its flags say
+        self.sock, self.buffer = sock, buffer or protocol.LineBuffer()
+        self.waiting, self.took = b"", now()
+
+    def say(self, data: bytes) -> None:
+        """Write what it takes now and keep the rest. OSError: it is gone."""
+        if not data and not self.waiting:
+            return
+        if not self.waiting:
+            self.took = now()
+        self.waiting += data
+        with contextlib.suppress(BlockingIOError):
+            sent = self.sock.send(self.waiting, socket.MSG_DONTWAIT)
+            self.waiting = self.waiting[sent:]
+            self.took = now()
+
+    @property
+    def stuck(self) -> bool:
+        """Whether it has taken nothing for long."""
+        return bool(self.waiting) and now() - self.took > sockets.SEND_WAIT
+
+
+class _Lost(Exception):
+    """The member's flow can't go on; the session may, elsewhere."""
+
+    def __init__(self, status: Status, why: str) -> None:
+        super().__init__(why)
+        self.status, self.why = status, why
+
+
+class _Over(Exception):
+    """The session ends."""
+
+    def __init__(self, why: End, status: Status = Status.CANCELLED, last: bytes = b"") -> None:
+        super().__init__(why.value)
+        self.why, self.status, self.last = why, status, last
+
+
+class Session:
+    """A transaction whose client offered to resume, from the first UP to its end."""
+
+    def __init__(
+        self,
+        core: Core,
+        resuming: Resuming,
+        box: Mailbox,
+        client: socket.socket,
+        opening: Opening,
+        stream: Stream,
+    ) -> None:
+        self._core, self._resuming, self._box = core, resuming, box
+        self._opening, self._stream = opening, stream
+        self._client: Side | None = Side(client)
+        self._host: Side | None = None
+        self._parked = False  # whether it is counted among those that wait for their clients
+        self._member, self._receipt = "", b""
+        self._missing = b""  # lines that the newest member has yet to get
+        self._renew_at = self._expiry = now()
+        self._ack_at: timedelta | None = None
+        self._until: timedelta | None = None  # the member's last words to a client that left
+        self._moves = 0
+        self._question = Question(lambda _: None)
+
+    def run(self, standing: Standing, number: int) -> None:
+        """Stand, move, be parked, come back, until one side ends it; all sockets are closed then."""
+        core, ledger, session = self._core, self._resuming.ledger, self._stream.number
+        over = _Over(End.LEFT)
+        self._receipt = standing.lines[0]
+        ledger.begin(session, self._box, binding(self._opening))
+        self._host = Side(standing.sock, standing.buffer)
+        try:
+            self._tell_client(self._receipt + self._token())  # the final answer of the first request
+            while True:
+                try:
+                    self._stand(standing, number)
+                except _Lost as lost:
+                    lost_at = now()
+                    self._leave_host(standing, number, lost.status)
+                    standing, number = self._go_on(lost)
+                    self._host = Side(standing.sock, standing.buffer)
+                    log("session_moved", member=standing.member.id, why=lost.why, took=now() - lost_at)
+        except _Over as end:
+            over = end
+        finally:
+            if self._host is not None:
+                self._leave_host(standing, number, over.status)
+            # In this order: once the ledger has it ended, nobody else comes, and who came is answered.
+            ledger.end(session, over.why)
+            while visitor := self._box.visitor():
+                _refuse(visitor, words.refused(over.why.value))
+            core.forget(number)
+            self._box.close()
+            self._stream.close()
+            if self._parked:
+                self._resuming.unpark()
+            if self._client is not None:
+                sockets.prepare(self._client.sock)
+                sockets.finish(self._client.sock, self._client.waiting + over.last)
+
+    # --- standing
+
+    def _stand(self, standing: Standing, number: int) -> None:
+        """Pass lines until the flow is lost or the session over; ends with _Lost or _Over only."""
+        core, stream, box = self._core, self._stream, self._box
+        assert self._host is not None
+        self._member = standing.member.id
+        self._question = Question(core.delay_notes(number, standing.attempt, standing.member.number))
+        box.hold()
+        if self._missing:
+            self._question.asked()
+            self._tell_host(self._missing)
+        self._take_host_lines(standing.lines[1:])
+        while True:
+            while visitor := box.visitor():
+                self._let_in(visitor)
+            self._keep_up()
+            ready = self._wait()
+            if box.fileno() in ready:
+                self._follow_orders(number)
+            if self._client is not None and self._client.sock.fileno() in ready:
+                self._serve_client(self._client)
+            if self._host.sock.fileno() in ready:
+                self._serve_host(self._host)
+            if not stream.can_return and self._client is None:
+                raise _Over(End.LOST)  # what did not fit the buffers ends the chance to come back
+
+    def _follow_orders(self, number: int) -> None:
+        while (order := self._box.take()) is not None:
+            if order.id != number:
+                continue  # of a placement that is over
+            raise _Lost(Status.CANCELLED, "ordered")
+
+    def _keep_up(self) -> None:
+        """What is due by the clock: tokens, acknowledgments, and sides that say or take nothing."""
+        moment, client, host = now(), self._client, self._host
+        assert host is not None
+        if client is None:
+            if moment >= self._expiry:
+                raise _Over(End.EXPIRED)
+            return
+        if self._until is not None and moment >= self._until:
+            raise _Over(End.LEFT)
+        if host.stuck:
+            raise _Lost(Status.TIMEOUT, "stuck")
+        if client.stuck:
+            self._park("stuck")
+        elif not client.waiting and self._question.silent():
+            raise _Lost(Status.TIMEOUT, "silent")
+        elif self._until is None:
+            if self._ack_at is not None and moment >= self._ack_at:
+                self._tell_client(self._stream.acknowledge())
+                self._ack_at = None
+            if moment >= self._renew_at:
+                self._tell_client(self._token())
+
+    def _token(self) -> bytes:
+        """A new token, where one is of use; the next is due at half its life."""
+        expires = self._resuming.options.expires
+        self._renew_at, self._expiry = now() + expires / 2, now() + expires
+        if not self._stream.can_return:
+            return b""
+        return self._resuming.token(self._stream.number, self._opening)
+
+    def _wait(self) -> set[int]:
+        """What can go on; a side whose other one has not taken all is not read, which holds up its sender."""
+        client, host, poll = self._client, self._host, select.poll()
+        assert host is not None
+        poll.register(self._box, select.POLLIN)
+        if client is not None:
+            reads = 0 if host.waiting or self._until is not None else select.POLLIN
+            if events := reads | (select.POLLOUT if client.waiting else 0):
+                poll.register(client.sock, events)
+        reads = 0 if client is not None and client.waiting else select.POLLIN
+        if events := reads | (select.POLLOUT if host.waiting else 0):
+            poll.register(host.sock, events)
+        due = [self._expiry if client is None else self._renew_at]
+        due += [t for t in (self._ack_at, self._until) if t is not None]
+        if self._question.open or host.waiting or (client is not None and client.waiting):
+            due.append(now() + OVERDUE)
+        return {fd for fd, _ in poll.poll(-(-seconds_left(min(due)) * 1000 // 1))}
+
+    def _serve_client(self, client: Side) -> None:
+        assert self._host is not None
+        try:
+            client.say(b"")
+            if self._host.waiting or self._until is not None:
+                return
+            data = client.sock.recv(sockets.CHUNK, socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return
+        except OSError:
+            return self._park("broke")
+        if not data:
+            return self._park("broke")
+        out, counted = Out(), self._stream.from_client.end
+        try:
+            for line in client.buffer.feed(data):
+                said = self._stream.client_line(line)
+                out.to_host += said.to_host
+                out.to_client += said.to_client
+                out.client_ends |= said.client_ends
+                if said.client_ends:
+                    break
+        except (protocol.LineError, words.WordError, PositionError) as err:
+            log("bad_line", where="session", why=err)
+            raise _Over(End.MOVED, last=protocol.MOVE + b"\r\n") from err
+        if self._stream.from_client.end > counted:  # nobody answers an acknowledgment
+            self._question.asked()
+            self._ack_at = self._ack_at or now() + ACK_WITHIN
+        self._tell_host(out.to_host)
+        self._tell_client(out.to_client)
+        if out.client_ends:
+            self._until = now() + LAST_WORDS
+            if not self._host.waiting:
+                with contextlib.suppress(OSError):
+                    self._host.sock.shutdown(socket.SHUT_WR)
+
+    def _serve_host(self, host: Side) -> None:
+        try:
+            host.say(b"")
+            if self._client is not None and self._client.waiting:
+                return
+            data = host.sock.recv(sockets.CHUNK, socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return
+        except OSError as err:
+            raise self._host_ended("reset") from err
+        if not data:
+            raise self._host_ended("ended")
+        try:
+            lines = host.buffer.feed(data)
+        except protocol.LineError as err:
+            log("bad_answer", member=self._member, why=err)
+            raise _Lost(Status.ERROR, "bad_line") from err
+        self._take_host_lines(tuple(lines))
+
+    def _host_ended(self, why: str) -> Exception:
+        """Its flow ended without BYE: the session is lost here, unless its client left or can't go on."""
+        if self._until is not None:
+            return _Over(End.LEFT)
+        return _Lost(Status.RESET, why)
+
+    def _take_host_lines(self, lines: tuple[bytes, ...]) -> None:
+        """Count what the member said and pass it on; MOVE and BYE decide what comes next."""
+        passed, out = b"", Out()
+        for line in lines:
+            try:
+                out = self._stream.host_line(line)
+            except (words.WordError, PositionError) as err:
+                log("bad_answer", member=self._member, why=err)
+                raise _Lost(Status.ERROR, "bad_word") from err
+            passed += out.to_client
+            if out.to_client:
+                self._moves = 0
+                self._question.answered(protocol.word_of(line))
+            if out.host_leaves or out.host_ends:
+                break
+        self._tell_client(passed)
+        self._tell_client(self._stream.lost_return())
+        if out.host_leaves:
+            raise _Lost(Status.CANCELLED, "sent_away")
+        if out.host_ends:
+            if self._client is None and self._stream.can_return:
+                raise _Lost(Status.OK, "served")  # its last lines wait for the client
+            raise _Over(End.LEFT, Status.OK)
+
+    def _tell_host(self, data: bytes) -> None:
+        assert self._host is not None
+        try:
+            self._host.say(data)
+        except OSError as err:
+            raise self._host_ended("reset") from err
+
+    def _tell_client(self, data: bytes) -> None:
+        if self._client is not None and data:
+            try:
+                self._client.say(data)
+            except OSError:
+                self._park("broke")
+
+    # --- without a client
+
+    def _park(self, why: str) -> None:
+        """The client's connection is gone: keep the session for a while, unless nobody could come back."""
+        assert self._client is not None
+        if self._until is not None:
+            raise _Over(End.LEFT)
+        sockets.reset(self._client.sock)
+        self._client, self._ack_at = None, None
+        if not self._stream.can_return:
+            raise _Over(End.LOST)
+        self._parked = self._resuming.park()
+        if not self._parked:
+            raise _Over(End.ROOM)
+        log("session_parked", why=why)
+
+    def _let_in(self, visitor: Visitor) -> None:
+        """A client came back: fence off its old connection, then tell it where both sides are."""
+        try:
+            at, *lines = self._stream.returns(visitor.position)
+        except PositionError as err:
+            self._resuming.ledger.restore(self._stream.number)
+            _refuse(visitor, words.refused(err.why))
+            return
+        if self._client is not None:
+            sockets.reset(self._client.sock)  # half dead or not: it gets no further line
+        if self._parked:
+            self._parked = False
+            self._resuming.unpark()
+        sockets.prepare(visitor.sock)
+        self._client = Side(visitor.sock)
+        self._resuming.ledger.spend(self._stream.number)
+        log("session_resumed", position=visitor.position)
+        self._tell_client(self._receipt + at + self._token() + b"".join(lines))
+
+    def _await_return(self) -> Visitor:
+        """The next client that comes back to a session adrift; _Over once nobody can."""
+        while True:
+            visitor = self._box.visitor()
+            if visitor is not None:
+                try:
+                    self._stream.from_host.since(visitor.position)
+                    return visitor
+                except PositionError as err:
+                    self._resuming.ledger.restore(self._stream.number)
+                    _refuse(visitor, words.refused(err.why))
+                    continue
+            if self._core.draining:
+                raise _Over(End.MOVED)
+            if now() >= self._expiry:
+                raise _Over(End.EXPIRED)
+            self._box.take()
+            until = min(self._expiry, now() + LOOK)
+            sockets.wait_readable(until, self._box.fileno())
+
+    # --- another member
+
+    def _leave_host(self, standing: Standing, number: int, status: Status) -> None:
+        """The old flow is closed before the module hears of its end, and before any other is opened."""
+        assert self._host is not None
+        self._host.sock.close()
+        self._host = None
+        self._box.unhold()
+        self._core.tell(standing.ended(number, status))
+        self._core.forget(number)
+
+    def _go_on(self, lost: _Lost) -> tuple[Standing, int]:
+        """Place the session anew, once there is a client to place it for; _Over where that can't be."""
+        served = lost.status is Status.OK
+        while True:
+            if self._client is not None and (served or not self._stream.can_move):
+                raise _Over(End.MOVED, last=protocol.MOVE + b"\r\n")
+            if self._client is None and not served and not self._stream.can_move:
+                raise _Over(End.MOVED)
+            self._moves += 1
+            if self._core.draining or self._moves > MOST_MOVES:
+                raise _Over(End.MOVED, last=protocol.MOVE + b"\r\n")
+            visitor = None if self._client is not None else self._await_return()
+            if visitor is not None and served:
+                self._let_in(visitor)
+                raise _Over(End.LEFT)
+            found = self._place(visitor.deadline if visitor else now() + MOVE_WITHIN)
+            if isinstance(found, tuple):
+                if visitor is not None:
+                    self._receipt = found[0].lines[0]
+                    self._let_in(visitor)
+                return found
+            if visitor is None:
+                log("session_refused", why=lost.why)
+                raise _Over(End.MOVED, last=protocol.MOVE + b"\r\n")
+            self._resuming.ledger.restore(self._stream.number)
+            self._moves = 0
+            _refuse(visitor, protocol.format_reject(found))
+
+    def _place(self, deadline: timedelta) -> tuple[Standing, int] | timedelta:
+        """A new flow with the session's positions, and its number; else when to come back."""
+        core, box, opening, stream = self._core, self._box, self._opening, self._stream
+
+        def accept(answer: Answer) -> bool:
+            try:
+                self._missing = stream.placed(answer.ready[0])
+            except PositionError as err:
+                log("resume_unfit", receipt=answer.receipt.decode(errors="replace").strip()[:80], why=err.why)
+                return False
+            return True
+
+        first_line = self._resuming.first_line(opening, stream)
+        number = core.register(box)
+        request = request_of(core, number, opening, deadline, True)
+        found = Placing(core, box, number, deadline, first_line, None, 2, accept).run(request)
+        if isinstance(found, Standing):
+            lines = (found.lines[0], *found.lines[2:])  # without its word of positions
+            return replace(found, lines=lines), number
+        core.forget(number)
+        return found.retry_after * MICROSECOND if isinstance(found, api.Refuse) else timedelta(0)
+
+
+def _refuse(visitor: Visitor, answer: bytes) -> None:
+    sockets.prepare(visitor.sock)
+    sockets.finish(visitor.sock, answer)
--- a/tansyladder/net/transaction.py
+++ b/tansyladder/net/transaction.py
@@ -2,22 +2,28 @@
 
 from __future__ import annotations
 
-import contextlib
 import socket
+from collections.abc import Callable
 from datetime import timedelta
 
 from tansyladder import interface as api
 from tansyladder.interface import Status
 from tansyladder.log import log
-from tansyladder.must import must_hold
 from tansyladder.net import protocol, sockets
 from tansyladder.net.clock import MICROSECOND, now
-from tansyladder.net.core import Core, Mailbox, Order, PoolMember
+from tansyladder.net.core import Core, Mailbox, PoolMember
 from tansyladder.net.flow import Answer, ServerSideFlow
+from tansyladder.net.placing import (
+    ClientLeft,
+    ClientSpoke,
+    Placing,
+    Standing,
+    client_breach,
+    request_of,
+)
 from tansyladder.net.protocol import Opening, format_reject
 from tansyladder.net.relay import Relay
 
-OVERDUE = timedelta(milliseconds=25)  # past the deadline an answer still counts for a little
 AGAIN = timedelta(milliseconds=100)  # between two tries to take up a connection from before the run
 
 
@@ -50,81 +56,45 @@
             self._client.close()
 
     def _live(self) -> None:
-        """OPEN, the module's choice, server-side flows, UP or an answer, the relay, the end."""
-        core, number, opening = self._core, self._number, self._opening
-        core.tell(
-            api.Request(
-                number, core.classes[opening.cls], 0, core.clock.micros(self._deadline), opening.key,
-                opening.group, None if opening.hint is None else int(opening.hint), opening.repeat, False,
-                opening.again,
-            )
-        )  # fmt: skip
-        attempt = 0
-        while True:
-            match self._next_order():
-                case api.Send(_, server, timeout):
-                    member, sent = core.member(server), now()
-                    until = min(sent + timeout * MICROSECOND, self._deadline)
-                    connect = core.config.settings.connect_timeout * MICROSECOND
-                    answer = ServerSideFlow(member, opening, until, connect).open(self._client, self._box)
-                    took = (now() - sent) // MICROSECOND
-                    if answer.sock is not None:
-                        core.tell(api.First(number, attempt, server, took))
-                        status = self._relay(answer, member, attempt)
-                        core.tell(api.Outcome(number, attempt, server, status, took, True))
-                        return
-                    if answer.client_left or answer.client_spoke:
-                        end = api.Outcome(number, attempt, server, answer.status, took, True)
-                        core.tell(api.Gone(number), end)
-                        return self._client_breach() if answer.client_spoke else None
-                    core.tell(api.Outcome(number, attempt, server, answer.status, took, False))
-                    attempt += 1
-                case api.Refuse(_, wait):
-                    core.tell(api.Gone(number))
-                    return sockets.finish(self._client, format_reject(wait * MICROSECOND))
-                case api.Fail():
-                    return sockets.finish(self._client, protocol.ERR + b"\r\n")
-                case api.Cancel() | api.Move():
-                    pass  # the attempt is over already, or nothing stands yet
-                case None:
-                    core.tell(api.Gone(number))
-                    return None
+        """OPEN, the module's choice and server-side flows, UP or an answer, the relay, the end."""
+        core, number, opening, resuming = self._core, self._number, self._opening, self._core.resuming
+        first_line: Callable[[timedelta], bytes] = opening.for_member
+        stream = None
+        if resuming is not None and resuming.offered(opening):
+            stream = resuming.stream()
+            first_line = resuming.first_line(opening, stream)
+        placing = Placing(core, self._box, number, self._deadline, first_line, self._client)
+        match placing.run(request_of(core, number, opening, self._deadline, opening.again)):
+            case Standing() as standing if resuming is not None and stream is not None:
+                # Loaded here: its tokens need a library that a node without such sessions does not load.
+                from tansyladder.net.session import Session
 
-    def _next_order(self) -> Order | None:
-        """What the module says next; None where the client left."""
-        until = self._deadline + OVERDUE
-        while True:
-            order = self._box.take()
-            if order is not None:
-                return order
-            ready = sockets.wait_readable(until, self._box.fileno(), self._client.fileno())
-            if self._client.fileno() in ready and self._box.first() is None:
-                with contextlib.suppress(OSError):
-                    if self._client.recv(1, socket.MSG_PEEK):
-                        self._client_breach()
-                return None
-            if not ready and now() >= until:
-                must_hold(False, "answer_overdue")
-                return api.Refuse(self._number, 0)
+                Session(core, resuming, self._box, self._client, opening, stream).run(standing, number)
+            case Standing() as standing:
+                member, attempt = standing.member, standing.attempt
+                status = self._relay(standing.sock, standing.buffer, standing.lines, member, attempt)
+                core.tell(standing.ended(number, status))
+            case api.Refuse(_, wait):
+                sockets.finish(self._client, format_reject(wait * MICROSECOND))
+            case api.Fail():
+                sockets.finish(self._client, protocol.ERR + b"\r\n")
+            case ClientSpoke():
+                client_breach(self._client)
+            case ClientLeft():
+                pass
 
-    def _client_breach(self) -> None:
-        """A line before UP: the client's mistake gets an answer and a log line."""
-        log("bad_line", where="client", why="a second line before UP")
-        sockets.finish(self._client, protocol.ERR + b"\r\n")
-
-    def _relay(self, answer: Answer, member: PoolMember, attempt: int) -> Status:
-        assert answer.sock is not None and answer.buffer is not None
-        core, number = self._core, self._number
-
-        def heard(delay: timedelta) -> None:
-            value = core.delays.heard(member.number, delay) if core.delays else None
-            if value is not None:
-                ms = value.total_seconds() * 1000
-                core.tell(api.Note(number, api.NoteKind.DELAY, attempt, member.number, ms))
-
-        relay = Relay(self._client, answer.sock, self._box, member.id, answer.buffer, heard)
+    def _relay(
+        self,
+        sock: socket.socket,
+        buffer: protocol.LineBuffer,
+        lines: tuple[bytes, ...],
+        member: PoolMember,
+        attempt: int,
+    ) -> Status:
+        heard = self._core.delay_notes(self._number, attempt, member.number)
+        relay = Relay(self._client, sock, self._box, member.id, buffer, heard)
         self._box.stand(relay.nudge)
-        return relay.run((answer.receipt, *answer.ready))
+        return relay.run(lines)
 
     def _take_up(self, ident: str) -> None:
         """A connection that stood at a pool member before the run goes back there."""
@@ -133,14 +103,15 @@
         answer = Answer(Status.CONNECT_FAILED)
         while member is not None and answer.sock is None and not answer.client_left:
             connect = core.config.settings.connect_timeout * MICROSECOND
-            answer = ServerSideFlow(member, opening, self._deadline, connect).open(self._client, self._box)
+            flow = ServerSideFlow(member, opening.for_member, self._deadline, connect)
+            answer = flow.open(self._client, self._box)
             if answer.sock is None and now() + AGAIN >= self._deadline:
                 break
             if answer.sock is None and not answer.client_left:
                 sockets.wait_readable(now() + AGAIN, self._box.fileno())
                 if isinstance(self._box.first(), api.Refuse):
                     break
-        if member is None or answer.sock is None:
+        if member is None or answer.sock is None or answer.buffer is None:
             log("take_up_failed", member=ident, status=answer.status.name)
             if not answer.client_left:
                 sockets.finish(self._client, format_reject(AGAIN))
@@ -148,5 +119,5 @@
         cls = core.classes[opening.cls]
         hint = None if opening.hint is None else int(opening.hint)
         core.tell(api.Opened(self._number, cls, 0, member.number, opening.key, hint))
-        status = self._relay(answer, member, 0)
+        status = self._relay(answer.sock, answer.buffer, (answer.receipt, *answer.ready), member, 0)
         core.tell(api.Outcome(self._number, 0, member.number, status, 0, True))
--- a/tansyladder/net/virtual_server.py
+++ b/tansyladder/net/virtual_server.py
@@ -16,6 +16,7 @@
 from tansyladder.net import protocol, sockets
 from tansyladder.net.clock import MICROSECOND, now, seconds_left
 from tansyladder.net.core import Core
+from tansyladder.net.protocol import TICKET
 from tansyladder.net.transaction import Transaction
 
 # Whoever has sent no whole first line by then gets an ERR, and whoever is still there after that a close: in
@@ -273,7 +274,12 @@
         """Serve a connection in a thread of its own, from `take` on; else the answer that turns it away."""
         if opening.cls not in self._core.classes:
             raise protocol.LineError(f"c: unknown class {opening.cls[:40]}")
+        resuming = self._core.resuming
+        if resuming is not None and TICKET in opening.told:
+            return resuming.come_back(sock, opening, arrived, take)
         standing = len(self._core.held(True))
+        # A resumable session keeps its mailbox's descriptor while it stands.
+        standing -= len(resuming.ledger) if resuming is not None else 0
         with self._lock:
             if opening.ident in self._open:
                 raise protocol.LineError("id: open already")
@@ -322,6 +328,7 @@
     def drain(self) -> None:
         """After SIGTERM: serve what still arrives, then move what stands, reject the rest in time."""
         core = self._core
+        core.draining = True
         longest = min(core.config.longest_deadline, timedelta(seconds=3))
         start = now()
         end = start + longest + KILL_MARGIN - EXIT_MARGIN
--- /dev/null
+++ b/tansyladder/options.py
@@ -0,0 +1,166 @@
+"""The operator's own settings: one S-expression file, read with sexpdata and checked in one place.
+
+Nothing of it is needed on the platform. Absent, every feature that it switches on is off. Spans are written
+"30 s" (us, ms, s, min, h), sizes "64 KiB" (KiB, MiB); a fault is named with its path: `resume.expires: …`.
+"""
+
+from __future__ import annotations
+
+import re
+from datetime import timedelta
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+
+SPANS = {
+    "us": timedelta(microseconds=1), "ms": timedelta(milliseconds=1), "s": timedelta(seconds=1),
+    "min": timedelta(minutes=1), "h": timedelta(hours=1),
+}  # fmt: skip
+SIZES = {"B": 1, "KiB": 1 << 10, "MiB": 1 << 20}
+MOST_DEPTH = 16  # of brackets: deeper is no settings file, and must not exhaust the reader's stack
+_QUANTITY = re.compile(r"([0-9]{1,12}(?:\.[0-9]{1,6})?) ?(us|ms|s|min|h|B|KiB|MiB)\Z", re.A)
+
+
+class OptionsError(Exception):
+    """Settings that can't be used; the message begins with the path in the file."""
+
+
+class KeyEntry(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """A key of tokens: its id (0 to 255) and 32 bytes in hexadecimal digits."""
+
+    id: Annotated[int, msgspec.Meta(ge=0, le=255)]
+    digits: str
+
+    def __post_init__(self) -> None:
+        if not re.fullmatch("[0-9a-fA-F]{64}", self.digits):
+            raise ValueError("32 bytes in hexadecimal digits expected")
+
+    @property
+    def secret(self) -> bytes:
+        return bytes.fromhex(self.digits)
+
+
+class ResumeOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Resumable streams; `keys` may change on a reload, all else needs a restart."""
+
+    enabled: bool = False
+    expires: timedelta = timedelta(seconds=30)  # of a token; also how long a broken session is kept
+    buffer: Annotated[int, msgspec.Meta(ge=4096, le=16 << 20)] = 64 << 10  # bytes each way of a session
+    memory_share: Annotated[float, msgspec.Meta(gt=0, le=0.5)] = 0.125  # of limits.memory_mb, for all buffers
+    parked: Annotated[int, msgspec.Meta(ge=0, le=100_000)] = 256  # sessions without a client at once
+    remembered: Annotated[int, msgspec.Meta(ge=0, le=1_000_000)] = 4096  # ended ones, for a clear refusal
+    keys: tuple[KeyEntry, ...] = ()  # the first one seals; none: one drawn at the start
+
+    def __post_init__(self) -> None:
+        if not timedelta(seconds=1) <= self.expires <= timedelta(hours=1):
+            raise ValueError("expires: from 1 s to 1 h expected")
+        if len({k.id for k in self.keys}) != len(self.keys):
+            raise ValueError("keys: an id stands twice")
+
+
+class LogOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How the log is written."""
+
+    json: bool = False
+
+
+class Options(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """All that an operator may set beside the platform's configuration."""
+
+    resume: ResumeOptions = ResumeOptions()
+    log: LogOptions = LogOptions()
+
+
+def _scalar(value: object, path: str) -> object:
+    import sexpdata
+
+    if isinstance(value, sexpdata.Symbol):
+        text = value.value()
+        if text not in ("true", "false"):
+            raise OptionsError(f"{path}: true, false, a number or a string expected, not {text[:40]}")
+        return text == "true"
+    if isinstance(value, str) and (found := _QUANTITY.match(value)):
+        number, unit = found.groups()
+        return float(number) * SPANS[unit] if unit in SPANS else int(float(number) * SIZES[unit])
+    if isinstance(value, bool | int | float | str):
+        return value
+    raise OptionsError(f"{path}: a plain value expected")
+
+
+def _named(value: object) -> bool:
+    import sexpdata
+
+    return isinstance(value, list) and bool(value) and isinstance(value[0], sexpdata.Symbol)
+
+
+def _value(values: list[Any], path: str) -> object:
+    """What stands behind a name: entries with names of their own, or one plain value."""
+    if all(map(_named, values)):
+        return _entries(values, path)
+    if len(values) != 1:
+        raise OptionsError(f"{path}: one value expected, not {len(values)}")
+    return _scalar(values[0], path)
+
+
+def _entries(entries: list[Any], path: str) -> dict[str, object]:
+    """`((a 1) (b (c 2)))` as nested dictionaries; `keys` is the one name with a list behind it."""
+    if path.count(".") > MOST_DEPTH:
+        raise OptionsError(f"{path[:40]}: brackets deeper than {MOST_DEPTH}")
+    out: dict[str, object] = {}
+    for entry in entries:
+        if not _named(entry):
+            raise OptionsError(f"{path or 'file'}: (name value) expected, not {str(entry)[:40]}")
+        name, values = entry[0].value(), entry[1:]
+        at = f"{path}.{name}" if path else name
+        if name in out:
+            raise OptionsError(f"{at}: stands twice")
+        if not values and path:
+            raise OptionsError(f"{at}: a value is missing")
+        if name == "keys":
+            out[name] = [
+                [_scalar(v, at) for v in key] if isinstance(key, list) else _scalar(key, at) for key in values
+            ]
+        else:
+            out[name] = _value(values, at)
+    return out
+
+
+def parse(text: str) -> Options:
+    """Settings from the text of a file; OptionsError names the path of the first fault."""
+    import sexpdata
+
+    try:
+        read = sexpdata.parse(text)
+    except (sexpdata.ExpectClosingBracket, sexpdata.ExpectNothing, sexpdata.ExpectSExp) as err:
+        raise OptionsError(f"file: brackets that don't match: {err}") from err
+    except Exception as err:  # the library ends on broken text with errors of many kinds
+        raise OptionsError(f"file: not S-expressions: {str(err)[:80]}") from err
+    try:
+        return msgspec.convert(_entries(read, ""), Options)
+    except msgspec.ValidationError as err:  # "why - at `$.resume.expires`"
+        why, _, at = str(err).partition(" - at `$")
+        path = at.rstrip("`").lstrip(".")
+        raise OptionsError(f"{path}: {why}" if path else why) from err
+
+
+def load(path: str | Path | None) -> Options:
+    """Settings from a file; all are off where none is named."""
+    if path is None:
+        return Options()
+    try:
+        return parse(Path(path).read_text(encoding="utf-8"))
+    except OSError as err:
+        raise OptionsError(f"file: {err.strerror or err}: {path}") from err
+    except UnicodeDecodeError as err:
+        raise OptionsError(f"file: not UTF-8: {path}") from err
+
+
+def changed(running: Options, told: Options) -> list[str]:
+    """The paths of what differs and can't be put in force while the node runs: all but the keys of tokens."""
+    before, after = msgspec.structs.asdict(running), msgspec.structs.asdict(told)
+    out = []
+    for section in before:
+        old, new = msgspec.structs.asdict(before[section]), msgspec.structs.asdict(after[section])
+        out += [f"{section}.{name}" for name in old if old[name] != new[name] and name != "keys"]
+    return out
--- /dev/null
+++ b/tansyladder/resume/__init__.py
@@ -0,0 +1,1 @@
+"""Resumable streams without sockets or clocks: words, tokens, the ledger, positions and replay."""
--- /dev/null
+++ b/tansyladder/resume/ledger.py
@@ -0,0 +1,108 @@
+"""The ledger: which sessions there are, which of their tokens still opens one, and why an ended one is gone.
+
+All times are integer microseconds that the caller tells. Safe to share between threads. A token is spent by
+the resume that it opened; while one resume is under way, any other is refused.
+"""
+
+from __future__ import annotations
+
+import threading
+from collections import OrderedDict
+from collections.abc import Callable
+from enum import Enum
+from typing import Generic, TypeVar
+
+from tansyladder.must import must_hold
+from tansyladder.resume.tokens import Binding, Claim, TokenError
+
+T = TypeVar("T")
+
+
+class End(Enum):
+    """Why a session can't be resumed any more; the value is the word that a late client is told."""
+
+    LEFT = "ended"  # one side ended it
+    MOVED = "moved"  # its client was sent away
+    LOST = "lost"  # what was not acknowledged did not fit the buffers
+    EXPIRED = "expired"  # nobody came back for it in time
+    ROOM = "room"  # too many sessions waited for their clients
+
+
+class _Entry(Generic[T]):
+    __slots__ = ("binding", "claimed", "expiry", "floor", "generation", "handle")
+
+    def __init__(self, handle: T, binding: Binding) -> None:
+        self.handle, self.binding = handle, binding
+        self.generation = 0  # of the newest token; two may be out, where a renewed one is on its way
+        self.floor = 1  # tokens of older generations are spent
+        self.expiry = 0
+        self.claimed = False
+
+
+class Ledger(Generic[T]):
+    """Sessions by their numbers; `T` is what the caller reaches a session by."""
+
+    def __init__(self, remembered: int) -> None:
+        """`remembered`: ended sessions whose reason is kept, oldest forgotten first; 0 keeps none."""
+        self._remembered = remembered
+        self._live: dict[int, _Entry[T]] = {}
+        self._ended: OrderedDict[int, End] = OrderedDict()
+        self._lock = threading.Lock()
+
+    def __len__(self) -> int:
+        return len(self._live)
+
+    def begin(self, session: int, handle: T, binding: Binding) -> None:
+        """A new session; its number must never have been used."""
+        with self._lock:
+            must_hold(session not in self._live and session not in self._ended, "resume_session_twice")
+            self._live[session] = _Entry(handle, binding)
+
+    def issue(self, session: int, expiry: int) -> Claim:
+        """What the session's next token says; its forerunner is good until one of the two is spent."""
+        with self._lock:
+            entry = self._live[session]
+            entry.generation += 1
+            entry.expiry = max(entry.expiry, expiry)
+            return Claim(session, entry.generation, expiry)
+
+    def claim(self, claim: Claim, now: int, deliver: Callable[[T], None]) -> None:
+        """Begin a resume and hand its client over, in one step that no other claim and no end comes between.
+
+        TokenError: expired, spent, claimed (another resume is under way), or why the session has ended.
+        """
+        with self._lock:
+            entry = self._live.get(claim.session)
+            if entry is None:
+                raise TokenError(self._ended.get(claim.session, End.EXPIRED).value)
+            if claim.generation < entry.floor:
+                raise TokenError("spent")
+            if claim.expiry <= now:
+                raise TokenError("expired")
+            if entry.claimed:
+                raise TokenError("claimed")
+            entry.claimed = True
+            deliver(entry.handle)
+
+    def spend(self, session: int) -> None:
+        """The resume went through: no token issued so far opens the session again."""
+        with self._lock:
+            entry = self._live[session]
+            must_hold(entry.claimed, "resume_spend_unclaimed")
+            entry.claimed, entry.floor = False, entry.generation + 1
+
+    def restore(self, session: int) -> None:
+        """The resume came to nothing, and nothing of the session has changed: its tokens are good again."""
+        with self._lock:
+            entry = self._live[session]
+            must_hold(entry.claimed, "resume_restore_unclaimed")
+            entry.claimed = False
+
+    def end(self, session: int, why: End) -> None:
+        """The session is over; from now on its tokens are refused with the reason."""
+        with self._lock:
+            if self._live.pop(session, None) is None:
+                return
+            self._ended[session] = why
+            while len(self._ended) > self._remembered:
+                self._ended.popitem(last=False)
--- /dev/null
+++ b/tansyladder/resume/stream.py
@@ -0,0 +1,148 @@
+"""One session's lines both ways: what goes to whom, what is counted, and what is said again after a change.
+
+Nothing here has a socket: lines come in, and bytes for either side come out. A session that loses its stream
+host goes on at another one from the positions of both; a client that comes back goes on from its own.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from tansyladder.resume import words
+from tansyladder.resume.window import Budget, PositionError, Window
+
+ACK_LINES = 16  # a client's lines between two acknowledgments: few bytes, and little to keep at the client
+BYE, MOVE = b"BYE\r\n", b"MOVE\r\n"
+
+
+@dataclass(slots=True)
+class Out:
+    """Bytes for both sides, and what has become of them."""
+
+    to_client: bytes = b""
+    to_host: bytes = b""
+    client_ends: bool = False  # it said that it leaves
+    host_leaves: bool = False  # it sends the client away
+    host_ends: bool = False  # served to the end
+
+
+class Stream:
+    """Positions, windows and the epoch of one session."""
+
+    __slots__ = (
+        "_acked", "_first_line", "_returns_told", "epoch", "from_client", "from_host", "number", "resumes",
+    )  # fmt: skip
+
+    def __init__(self, number: int, budget: Budget, most: int) -> None:
+        """`most`: bytes kept each way, with a fixed cost for each line."""
+        self.number = number
+        self.from_client = Window(budget, most)  # kept until the stream host has them
+        self.from_host = Window(budget, most)  # kept until the client has them
+        self.epoch = 0  # how often it has been placed
+        self.resumes = False  # whether the stream host speaks of positions
+        self._first_line = True  # whether the next line is the first behind UP
+        self._acked = 0  # position of the client's last acknowledgment from us
+        self._returns_told = True
+
+    # --- what may still be done
+
+    @property
+    def can_move(self) -> bool:
+        """Whether another stream host can go on with it."""
+        return self.resumes and self.from_client.kept
+
+    @property
+    def can_return(self) -> bool:
+        """Whether its client can come back."""
+        return self.from_host.kept
+
+    # --- stream hosts
+
+    def place(self) -> tuple[tuple[str, str], ...]:
+        """The names for the first line to the next stream host; older epochs are fenced off by it."""
+        self.epoch += 1
+        self._first_line = True
+        up, down = self.from_client, self.from_host
+        return words.placing(self.number, self.epoch, up.base, up.end, down.end)
+
+    def placed(self, line: bytes) -> bytes:
+        """The new stream host's word behind UP; the client's lines that it lacks.
+
+        PositionError: it says nothing of positions (`silent`), it holds less than was acknowledged
+        (`behind`), more than was ever sent, or does not go on where the last one ended (`ahead`).
+        """
+        try:
+            said = words.parse_host(line) if words.is_control(line) else None
+        except words.WordError as err:
+            raise PositionError("silent") from err
+        if not isinstance(said, words.At):
+            raise PositionError("silent")
+        if said.said != self.from_host.end:
+            raise PositionError("ahead" if said.said > self.from_host.end else "behind")
+        lines = b"".join(self.from_client.since(said.heard))
+        self.from_client.ack(said.heard)
+        self._first_line, self.resumes = False, True
+        return lines
+
+    def host_line(self, line: bytes) -> Out:
+        """A whole line of the stream host. WordError or PositionError: it can't be gone on with."""
+        first, self._first_line = self._first_line, False
+        if first and line == words.START + b"AT 0 0\r\n":
+            self.resumes = True
+            return Out()
+        if first:
+            self.from_client.stop()  # it will never acknowledge: nothing is kept for another one
+        if self.resumes and words.is_control(line):
+            said = words.parse_host(line)
+            if not isinstance(said, words.Ack):
+                raise words.WordError("RS AT stands behind UP only")
+            self.from_client.ack(said.position)
+            return Out()
+        if line == MOVE:
+            return Out(host_leaves=True)
+        self.from_host.add(line)
+        return Out(to_client=line, host_ends=line == BYE)
+
+    # --- the client
+
+    def client_line(self, line: bytes) -> Out:
+        """A whole line of the client. WordError or PositionError: its mistake."""
+        if words.is_control(line):
+            said = words.parse_client(line)
+            if isinstance(said, words.End):
+                return Out(to_host=words.END if self.resumes else b"", client_ends=True)
+            self.from_host.ack(said.position)
+            return Out(to_host=words.ack(said.position) if self.resumes else b"")
+        self.from_client.add(line)
+        due = self.from_client.end - self._acked >= ACK_LINES
+        return Out(to_host=line, to_client=self.acknowledge() if due else b"")
+
+    def acknowledge(self) -> bytes:
+        """What tells the client how many of its lines are held; nothing where it knows."""
+        if self._acked == self.from_client.end:
+            return b""
+        self._acked = self.from_client.end
+        return words.ack(self._acked)
+
+    def returns(self, position: int) -> Iterable[bytes]:
+        """A client came back that has this many of the host's lines: what it is told, and what it lacks.
+
+        PositionError: `ahead` of what there is or `behind` what is kept; nothing has changed then.
+        """
+        lines = list(self.from_host.since(position))
+        self.from_host.ack(position)
+        self._acked = self.from_client.end
+        return (words.at(self._acked), *lines)
+
+    def lost_return(self) -> bytes:
+        """Once, when coming back has become impossible: what tells the client."""
+        if self.can_return or not self._returns_told:
+            return b""
+        self._returns_told = False
+        return words.off("buffer")
+
+    def close(self) -> None:
+        """Give back what is kept."""
+        self.from_client.stop()
+        self.from_host.stop()
--- /dev/null
+++ b/tansyladder/resume/tokens.py
@@ -0,0 +1,100 @@
+"""Tokens: opaque, authentic, bound to a node's life and to what a session is; sealed with AES-256-GCM.
+
+The seal is AEAD of the `cryptography` library (RFC 5116), which compares tags in constant time. The session's
+class, group and key are bound as associated data: they are not in the token, and whoever presents it must
+name the same ones.
+"""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import struct
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+from cryptography.exceptions import InvalidTag
+from cryptography.hazmat.primitives.ciphers.aead import AESGCM
+
+KEY_BYTES, NONCE_BYTES, TAG_BYTES, LIFE_BYTES = 32, 12, 16, 8
+_CLAIM = struct.Struct(">QIQ")  # session, generation, expiry in microseconds
+_HEAD = 1 + LIFE_BYTES  # key id, life
+RAW = _HEAD + NONCE_BYTES + _CLAIM.size + TAG_BYTES
+TEXT = -(-RAW * 4 // 3)  # characters of a token: 76, well under a value's 128
+
+
+class TokenError(Exception):
+    """A token that opens nothing; `why` is the word that its presenter is told."""
+
+    def __init__(self, why: str) -> None:
+        super().__init__(why)
+        self.why = why
+
+
+class Claim(NamedTuple):
+    """What a token says once it is open."""
+
+    session: int
+    generation: int
+    expiry: int  # microseconds on the clock of whoever sealed it
+
+
+class Binding(NamedTuple):
+    """What must be the same when a token comes back."""
+
+    cls: str
+    group: int
+    key: int
+
+    def encode(self) -> bytes:
+        """Unambiguous bytes: the figures have fixed sizes and stand first."""
+        return struct.pack(">QQ", self.group, self.key) + self.cls.encode()
+
+
+class Keyring:
+    """The keys of one life of a node, the sealing one first; a new set may take its place at any time."""
+
+    def __init__(
+        self, life: bytes, keys: Sequence[tuple[int, bytes]], random: Callable[[int], bytes]
+    ) -> None:
+        """`life`: LIFE_BYTES that no other node and no other life of this one has; `random`: os.urandom."""
+        if len(life) != LIFE_BYTES:
+            raise ValueError(f"life: {LIFE_BYTES} bytes expected")
+        self._life, self._random = life, random
+        # Where the operator names none, one that nobody else knows: tokens do not outlive this life anyway.
+        self._own = ((0, random(KEY_BYTES)),)
+        self.rotate(keys)
+
+    def rotate(self, keys: Sequence[tuple[int, bytes]]) -> None:
+        """Seal with the first key from now on and open with all; tokens of other keys open nothing."""
+        keys = tuple(keys) or self._own
+        if len({ident for ident, _ in keys}) != len(keys):
+            raise ValueError("keys: an id stands twice")
+        # One store: threads see all of the new set or nothing of it.
+        self._keys = {ident: AESGCM(secret) for ident, secret in keys}
+
+    def seal(self, claim: Claim, binding: Binding) -> str:
+        """The text of a token."""
+        ident, aead = next(iter(self._keys.items()))
+        head, nonce = bytes((ident,)) + self._life, self._random(NONCE_BYTES)
+        sealed = aead.encrypt(nonce, _CLAIM.pack(*claim), head + binding.encode())
+        return base64.urlsafe_b64encode(head + nonce + sealed).rstrip(b"=").decode()
+
+    def open(self, text: str, binding: Binding) -> Claim:
+        """What a token says. TokenError: malformed, elsewhere (another node or life) or forged."""
+        if len(text) != TEXT:
+            raise TokenError("malformed")
+        try:
+            raw = base64.b64decode(text + "=" * (-len(text) % 4), altchars=b"-_", validate=True)
+        except (binascii.Error, ValueError) as err:
+            raise TokenError("malformed") from err
+        head, nonce, sealed = raw[:_HEAD], raw[_HEAD : _HEAD + NONCE_BYTES], raw[_HEAD + NONCE_BYTES :]
+        if head[1:] != self._life:  # no secret: it only tells whose token this is
+            raise TokenError("elsewhere")
+        aead = self._keys.get(head[0])
+        if aead is None:
+            raise TokenError("forged")  # or sealed with a key that has been taken out
+        try:
+            return Claim(*_CLAIM.unpack(aead.decrypt(nonce, sealed, head + binding.encode())))
+        except InvalidTag as err:
+            raise TokenError("forged") from err
--- /dev/null
+++ b/tansyladder/resume/words.py
@@ -0,0 +1,101 @@
+"""The lines that parties to a resumable session add between the platform's own; pure parsing and formatting.
+
+A control line begins with `RS `, a first word that whoever offers resuming gives up for lines of its own.
+Control lines are not counted in positions. The whole grammar stands in docs/design/resumable-streams.md.
+"""
+
+from __future__ import annotations
+
+import re
+from typing import NamedTuple
+
+START = b"RS "
+END = b"RS END\r\n"
+MOST_POSITION = 10**15  # lines: no session gets that far, and no figure of thousands of digits is read
+MOST_PLACE = 1 << 32  # of epochs
+_ACK = re.compile(rb"RS ACK ([0-9]{1,16})\r\n\Z")
+_AT = re.compile(rb"RS AT ([0-9]{1,16}) ([0-9]{1,16})\r\n\Z")
+
+
+class WordError(Exception):
+    """A control line that no party may send."""
+
+
+class Ack(NamedTuple):
+    """Its sender has the other side's lines up to this position and never asks for them again."""
+
+    position: int
+
+
+class At(NamedTuple):
+    """A stream host's word behind UP: it holds the client's lines up to `heard` and goes on after `said`."""
+
+    heard: int
+    said: int
+
+
+class End(NamedTuple):
+    """The client leaves for good: any other end of its connection is a break."""
+
+
+def is_control(line: bytes) -> bool:
+    """Whether a whole line is one of these."""
+    return line.startswith(START)
+
+
+def _position(digits: bytes) -> int:
+    value = int(digits)
+    if value > MOST_POSITION:
+        raise WordError("a position out of range")
+    return value
+
+
+def parse_client(line: bytes) -> Ack | End:
+    """A client's control line; WordError for any other."""
+    if line == END:
+        return End()
+    if found := _ACK.match(line):
+        return Ack(_position(found[1]))
+    raise WordError("RS ACK N or RS END expected")
+
+
+def parse_host(line: bytes) -> Ack | At:
+    """A stream host's control line; WordError for any other."""
+    if found := _ACK.match(line):
+        return Ack(_position(found[1]))
+    if found := _AT.match(line):
+        return At(_position(found[1]), _position(found[2]))
+    raise WordError("RS ACK N or RS AT N M expected")
+
+
+def ack(position: int) -> bytes:
+    """To either side: its lines are held up to here."""
+    return b"RS ACK %d\r\n" % position
+
+
+def at(position: int) -> bytes:
+    """To a client that came back: what the node holds of its lines."""
+    return b"RS AT %d\r\n" % position
+
+
+def token(text: str, milliseconds: int) -> bytes:
+    """To a client: what lets it come back, and for how long."""
+    return b"RS TOKEN %s %d\r\n" % (text.encode("ascii"), milliseconds)
+
+
+def off(why: str) -> bytes:
+    """To a client: there is no coming back to this session any more; it goes on as it stands."""
+    return b"RS OFF %s\r\n" % why.encode("ascii")
+
+
+def refused(why: str) -> bytes:
+    """The final answer to a token that opens nothing; `ERR` is a failure to whoever knows no more."""
+    return b"ERR resume %s\r\n" % why.encode("ascii")
+
+
+def placing(
+    session: int, epoch: int, held_from: int, held_to: int, said: int
+) -> tuple[tuple[str, str], ...]:
+    """The names in the first line to a stream host; the epoch fences off who held the session before."""
+    values = (("rsn", f"{session:016x}"), ("re", epoch), ("ra", held_from), ("ri", held_to), ("ro", said))
+    return tuple((name, str(value)) for name, value in values)
--- /dev/null
+++ b/tansyladder/serve.py
@@ -0,0 +1,70 @@
+"""The real node: start, signals, exit code. It imports nothing that only tools need."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+import threading
+from pathlib import Path
+
+# Bytes of each thread's stack. Little of it is touched: on days of 37 and of 330 descriptors the node took
+# 9 and 13 MB, so a standing connection with its thread costs some 27 KB.
+STACK = 256 * 1024
+SWITCH = 0.001  # seconds a busy thread may hold the interpreter while another one waits
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
+
+def serve(settings: str | Path | None = None) -> int:
+    """Run until a signal ends it, then drain; `settings`: the operator's own file, where there is one."""
+    # Every thread inherits it; this one waits for them. It comes before the imports, which take a while: the
+    # default action of a SIGHUP is to end the program. Until here the shell's trap of `run` ignores it.
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+    signal.signal(signal.SIGHUP, lambda *_: None)  # an ignored one might not even wait
+
+    from tansyladder import config, options
+    from tansyladder.log import log, write_json
+    from tansyladder.net.core import Core
+    from tansyladder.net.discovery import Discovery
+    from tansyladder.net.probe import Prober
+    from tansyladder.net.reload import Reloader
+    from tansyladder.net.virtual_server import VirtualServer
+
+    try:
+        told = config.load(os.environ)
+    except config.ConfigError as err:
+        print(f"event=bad_config why={err}", file=sys.stderr)
+        return 2
+    try:
+        chosen = options.load(settings)
+    except options.OptionsError as err:
+        print(f"event=bad_settings why={err}", file=sys.stderr)
+        return 2
+    write_json(chosen.log.json)
+    threading.stack_size(STACK)
+    sys.setswitchinterval(SWITCH)
+    threading.excepthook = lambda args: log("internal_error", why=repr(args.exc_value))
+    core = Core(told, chosen)
+    if chosen.resume.enabled:
+        from tansyladder.net.resuming import Resuming  # and the library of its cryptography
+
+        core.resuming = Resuming(core)
+    try:
+        front = VirtualServer(core)
+    except OSError as err:
+        print(f"event=bad_config why=GW_LISTEN: {err}", file=sys.stderr)
+        return 2
+    core.start()
+    discovery = Discovery(core)
+    discovery.start()
+    Prober(core).start()
+    front.start()
+    reloader = Reloader(os.environ, core, discovery, settings)
+    reloader.start()
+    log("started", name=told.name, members=len(told.known.members), sockets=told.limits.sockets)
+    while (got := signal.sigwait(SIGNALS)) == signal.SIGHUP:
+        reloader.ask()  # read elsewhere: a SIGTERM meanwhile must not wait for a slow disk
+    reloader.stop()
+    log("stopping", signal=signal.Signals(got).name)
+    front.drain()
+    return 0
--- a/tests/node.py
+++ b/tests/node.py
@@ -15,7 +15,9 @@
 from tansyladder import config
 from tansyladder import interface as api
 from tansyladder.net.core import Core, Mailbox
+from tansyladder.net.resuming import Resuming
 from tansyladder.net.virtual_server import VirtualServer
+from tansyladder.options import Options, ResumeOptions
 
 Script = Callable[["Peer"], None]
 SETTINGS: dict[str, Any] = {
@@ -98,8 +100,8 @@
 class HeardCore(Core):
     """A core that keeps what its module heard."""
 
-    def __init__(self, told: config.Config) -> None:
-        super().__init__(told)
+    def __init__(self, told: config.Config, options: Options | None = None) -> None:
+        super().__init__(told, options)
         self.heard: list[api.Event] = []
 
     def _decide(self, events: Sequence[api.Event]) -> list[Mailbox]:
@@ -150,9 +152,14 @@
 
 
 @contextmanager
-def node(tmp_path: Path, *members: Listener, **over: Any) -> Iterator[Node]:
-    """A node that knows these members."""
-    core = HeardCore(told(tmp_path, *(member(f"s{i}", m.address) for i, m in enumerate(members)), **over))
+def node(
+    tmp_path: Path, *members: Listener, resume: ResumeOptions | None = None, **over: Any
+) -> Iterator[Node]:
+    """A node that knows these members; with `resume` its sessions can be resumed."""
+    told_ = told(tmp_path, *(member(f"s{i}", m.address) for i, m in enumerate(members)), **over)
+    core = HeardCore(told_, Options(resume=resume) if resume else None)
+    if resume:
+        core.resuming = Resuming(core)
     front = VirtualServer(core)
     core.start()
     front.start()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -301,43 +301,48 @@
 
 @contextmanager
 def program(
-    tmp_path: Path, host: Listener, *before: str, **over: object
+    tmp_path: Path,
+    hosts: Listener | list[Listener],
+    *before: str,
+    words: tuple[str, ...] = (),
+    **over: object,
 ) -> Iterator[tuple[subprocess.Popen[bytes], int]]:
     """The real program in its release build, and its port."""
+    hosts = hosts if isinstance(hosts, list) else [hosts]
     with socket.create_server(("127.0.0.1", 0)) as spare:
         port = spare.getsockname()[1]
-    read = told(tmp_path, member("s0", host.address), **over)
+    read = told(tmp_path, *(member(f"s{i}", h.address) for i, h in enumerate(hosts)), **over)
     discovery = "{}:{}".format(*read.discovery)
     env = {
         **os.environ, "GW_CONFIG": str(tmp_path / "config.json"), "GW_LISTEN": f"127.0.0.1:{port}",
         "GW_DISCOVERY": discovery,
     }  # fmt: skip
-    run = subprocess.Popen(
-        [*before, sys.executable, "-O", "-m", "tansyladder"], env=env, stderr=subprocess.PIPE
-    )
+    command = [*before, sys.executable, "-O", "-m", "tansyladder", *words]
+    run = subprocess.Popen(command, env=env, stderr=subprocess.PIPE)
     with run:
         try:
-            assert run.stderr is not None and b"event=started" in run.stderr.readline()
+            until_line(run, b"event=started")
             yield run, port
         finally:
             run.kill()  # a story that fails must not wait for the program's end
 
 
-def client_of(port: int) -> Peer:
+def client_of(port: int, key: str = "7f") -> Peer:
     client = Peer(socket.create_connection(("127.0.0.1", port), 5))
-    client.say(f"OPEN {fresh()} 7f c=chat,d=1200,g=5c")
+    client.say(f"OPEN {fresh()} {key} c=chat,d=1200,g=5c")
     return client
 
 
 def test_a_planned_restart_moves_whom_it_holds_and_ends_in_time(tmp_path: Path) -> None:
-    host = Listener(up(lambda peer: void(*iter(peer.hear, ""))))
-    with program(tmp_path, host) as (run, port):
-        clients = [client_of(port) for _ in range(20)]
+    """Three members have room for 20 set-ups, eight each: who waits for room may miss the deadline."""
+    hosts = [Listener(up(lambda peer: void(*iter(peer.hear, "")))) for _ in range(3)]
+    with program(tmp_path, hosts) as (run, port):
+        clients = [client_of(port, fresh()) for _ in range(20)]
         assert {client.hear() for client in clients} == {"UP r1"}
         start = time.monotonic()
         run.send_signal(signal.SIGTERM)
         time.sleep(0.2)
-        clients.append(client_of(port))
+        clients.append(client_of(port, fresh()))
         assert clients[-1].hear() == "UP r1"  # what still arrives is served, and moved like the others
         assert [client.hear() for client in clients] == ["MOVE"] * 21
         for client in clients:
--- /dev/null
+++ b/tests/test_options.py
@@ -0,0 +1,154 @@
+"""The operator's settings, the command line, and the log's lines."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import signal
+import subprocess
+import sys
+from datetime import timedelta
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from structlog import DropEvent
+
+from tansyladder import log as logging
+from tansyladder.options import KeyEntry, Options, OptionsError, changed, load, parse
+from tests.node import Listener, member, told, up
+from tests.test_node import client_of, program, until_line
+
+KEY = "ab" * 32
+
+
+@pytest.mark.parametrize(
+    ("text", "path"),
+    [
+        ('(resume (expires "9 h"))', "resume: expires"),
+        ("(resume (expires 30))", "resume.expires"),
+        ("(resume (enabled yes))", "resume.enabled"),
+        ("(resume (enabled))", "resume.enabled"),
+        ("(resume (enabled true) (enabled false))", "resume.enabled"),
+        ('(resume (buffer "1 B"))', "resume.buffer"),
+        ("(resume (memory_share 0.9))", "resume.memory_share"),
+        ('(resume (keys (7 "zz")))', "resume.keys[0]"),
+        (f'(resume (keys (7 "{KEY}") (7 "{KEY}")))', "resume: keys"),
+        (f'(resume (keys (256 "{KEY}")))', "resume.keys[0][0]"),
+        ("(resume (colour 1))", "`colour`"),
+        ("(shop)", "`shop`"),
+        ("(log (json 1) 5)", "log"),
+        ("resume", "file"),
+        ("(resume (enabled true)", "file"),
+        (")", "file"),
+        ('"', "file"),
+        ("(" * 4000, "file"),
+        ("(a " * 30 + "1" + ")" * 30, "brackets deeper"),
+    ],
+)
+def test_a_fault_in_settings_names_its_path(text: str, path: str) -> None:
+    with pytest.raises(OptionsError) as err:
+        parse(text)
+    assert path in str(err.value)
+
+
+def test_settings_are_read_with_their_units_and_nothing_is_on_by_itself(tmp_path: Path) -> None:
+    assert load(None) == parse("; nothing\n") == Options() and not Options().resume.enabled
+    read = parse(f'(resume (enabled true) (expires "1.5 min") (buffer "8 KiB") (keys (3 "{KEY}")))')
+    assert read.resume.expires == timedelta(seconds=90) and read.resume.buffer == 8192
+    assert read.resume.keys == (KeyEntry(3, KEY),) and read.resume.keys[0].secret == b"\xab" * 32
+    assert changed(Options(), read) == ["resume.enabled", "resume.expires", "resume.buffer"]
+    with pytest.raises(OptionsError, match="file: No such file"):
+        load(tmp_path / "none")
+    assert load(Path(__file__).parent.parent / "deploy" / "settings.example.sexp").resume.enabled
+
+
+@given(st.text(alphabet="()\"';#. \\\n09azresumenabled", max_size=60))
+@settings(max_examples=300, deadline=None, derandomize=True)
+def test_any_text_is_settings_or_a_fault(text: str) -> None:
+    with contextlib.suppress(OptionsError):
+        parse(text)
+
+
+def run(*words: str, **env: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-m", "tansyladder", *words], capture_output=True, text=True, timeout=30,
+        env={**os.environ, **env},
+    )  # fmt: skip
+
+
+def test_check_names_the_fault_and_ends_with_2(tmp_path: Path) -> None:
+    told(tmp_path, member("s0", "127.0.0.1:9"))
+    assert run("check", str(tmp_path / "config.json")).returncode == 0
+    (tmp_path / "bad.json").write_text('{"limits": {"sockets": "many"}}')
+    (tmp_path / "bad.sexp").write_text("(resume (expires 1))")
+    for name, path in (("bad.json", "limits.sockets"), ("bad.sexp", "resume.expires")):
+        done = run("check", str(tmp_path / name))
+        assert done.returncode == 2 and path in done.stderr and "Traceback" not in done.stderr
+    env = {"GW_CONFIG": str(tmp_path / "config.json")}
+    done = run("serve", "--settings", str(tmp_path / "bad.sexp"), **env)
+    assert done.returncode == 2 and "event=bad_settings" in done.stderr and "resume.expires" in done.stderr
+
+
+def test_the_platforms_line_loads_no_tool(tmp_path: Path) -> None:
+    """Started without words the node must not pay for what only tools and other installations need."""
+    told(tmp_path)
+    code = (
+        "import signal, sys;"
+        "sys.argv = ['tansyladder'];"
+        "signal.sigwait = lambda _: signal.SIGTERM;"
+        "from tansyladder.__main__ import main; main();"
+        "print(sorted({'click', 'sexpdata', 'cryptography', 'hdrh'} & sys.modules.keys()))"
+    )
+    env = {**os.environ, "GW_CONFIG": str(tmp_path / "config.json")}
+    done = subprocess.run([sys.executable, "-c", code], env=env, capture_output=True, text=True, timeout=30)
+    assert done.stdout.strip() == "[]", done.stderr
+
+
+def test_a_new_set_of_keys_is_put_in_force_by_a_signal(tmp_path: Path) -> None:
+    """A broken file changes nothing; what can't change is named, and no key is ever written to the log."""
+    file = tmp_path / "settings.sexp"
+    file.write_text(f'(resume (enabled true) (keys (1 "{KEY}")))')
+    host = Listener(up(lambda peer: peer.say(peer.hear())))
+    with program(tmp_path, host, words=("serve", "--settings", str(file))) as (node, port):
+        assert node.stderr is not None
+        file.write_text("(resume")
+        node.send_signal(signal.SIGHUP)
+        until_line(node, b'event=reload_failed why="file: brackets')
+        file.write_text(f'(resume (enabled true) (parked 9) (keys (2 "{"cd" * 32}") (1 "{KEY}")))')
+        node.send_signal(signal.SIGHUP)
+        until_line(node, b"event=reload_ignored keys=resume.parked")
+        until_line(node, b"event=reloaded")
+        client = client_of(port)
+        assert client.hear() == "UP r1"
+        node.send_signal(signal.SIGTERM)
+        assert client.hear() == "MOVE"
+        client.close()
+        assert node.wait(10) == 0
+        assert KEY.encode() not in node.stderr.read()
+
+
+def test_the_log_keeps_its_lines_and_no_secret(capsys: pytest.CaptureFixture[str]) -> None:
+    logging.log("one", why="two words", after=timedelta(milliseconds=1.5), plain="x", token="s3cret")
+    logging.write_json(True)
+    try:
+        logging.log("two", why='a "b"', count=3)
+    finally:
+        logging.write_json(False)
+    first, second = capsys.readouterr().err.splitlines()
+    assert first == 'event=one why="two words" after=1.5ms plain=x token=hidden:6'
+    assert json.loads(second) == {"event": "two", "why": 'a "b"', "count": 3}
+
+
+def test_of_one_event_so_many_lines_are_written(capsys: pytest.CaptureFixture[str]) -> None:
+    limit = logging.PerWindow()
+    dropped = 0
+    for _ in range(logging.PER_WINDOW + 5):
+        try:
+            limit(None, "msg", {"event": "flood"})
+        except DropEvent:
+            dropped += 1
+    assert dropped == 5
+    assert limit(None, "msg", {"event": "other"}) == {"event": "other"}
