Add the embedded store: log, index, compaction, recovery, a tool and its faults

Need: a node that dies comes back with nothing but a stale list. Beneath all that must last there is to be one small store; this is the store itself, on which nothing of the node stands yet.

The stand-in and the stateful test found three faults of the first build: a compaction that chose its own output without end, one that left the index pointing at an expired record's removed segment, and a failed start of a compaction that no error handled.

--- a/tansyladder/cli.py
+++ b/tansyladder/cli.py
@@ -50,7 +50,9 @@
 def main() -> int:
     """The exit code; 2 where the words make no sense."""
     from tansyladder.lab import commands as lab_commands
+    from tansyladder.store.commands import store
 
     lab_commands.add_to(lab)
+    commands.add_command(store)
     commands(prog_name="tansyladder")
     return 0
--- a/tansyladder/lab/commands.py
+++ b/tansyladder/lab/commands.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 from collections.abc import Coroutine
+from pathlib import Path
 from typing import Any
 
 import click
@@ -89,7 +90,55 @@
         await end.wait()
 
 
+@click.command("store-faults")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--full", is_flag=True, help="every step and every offset")
+@click.option("--json", "as_json", is_flag=True, help="one JSON object")
+def store_faults_command(seed: int, full: bool, as_json: bool) -> None:
+    """Hurt a store's files in every way that the stand-in knows, and check what is there after recovery."""
+    from tansyladder.lab import storefaults
+
+    found = storefaults.run(seed, full)
+    _show(found, as_json)
+    sys.exit(1 if any(found[name] for name in ("lost", "half_batches", "resurrected")) else 0)
+
+
+@click.command("store-kill")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--rounds", default=200, show_default=True, type=click.IntRange(1, 10_000))
+@click.option("--json", "as_json", is_flag=True, help="one JSON object")
+def store_kill_command(seed: int, rounds: int, as_json: bool) -> None:
+    """End a writing process with SIGKILL again and again, and check what it had acknowledged."""
+    import tempfile
+
+    from tansyladder.lab import storekill
+
+    with tempfile.TemporaryDirectory(prefix="tansyladder-kill-") as folder:
+        found = storekill.play(Path(folder), seed, rounds)
+    _show(found, as_json)
+    sys.exit(1 if found["lost"] or found["wrong"] else 0)
+
+
+@click.command("store-bench")
+@click.option("--folder", type=click.Path(path_type=Path, exists=True), help="where; none: a temporary one")
+@click.option("--records", default=1_000_000, show_default=True, help="small ones, whose memory is measured")
+@click.option("--json", "as_json", is_flag=True, help="one JSON object")
+def store_bench_command(folder: Path | None, records: int, as_json: bool) -> None:
+    """Measure the store beside sqlite3 and lmdb, in one run on one folder."""
+    from tansyladder.lab import storebench
+
+    _show(storebench.run(folder, records), as_json)
+
+
 def add_to(group: click.Group) -> None:
     """Put the lab's commands under their group."""
-    for command in (drain_command, return_command, cost_command, up_command):
+    for command in (
+        drain_command,
+        return_command,
+        cost_command,
+        up_command,
+        store_faults_command,
+        store_kill_command,
+        store_bench_command,
+    ):
         group.add_command(command)
--- /dev/null
+++ b/tansyladder/lab/storefaults.py
@@ -0,0 +1,217 @@
+"""Every way to hurt the store's files that the stand-in knows, and what is there after recovery.
+
+The checker knows the states that the store went through, one for each batch. What is recovered must be one of
+them: not older than what was acknowledged as synced, not newer than what was asked for. Nothing else is
+allowed, but the named error Damaged where bytes that had been on disk were changed behind the store's back.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import random
+import time
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from tansyladder.lab.faultfs import FaultFiles, PowerLoss
+from tansyladder.store import Durability, Op, StoreError, open_store
+from tansyladder.store.errors import Damaged, Full
+
+SEGMENT = 700  # bytes: a few batches fill one
+NODE = "n1"
+State = dict[bytes, bytes]
+Batch = tuple[tuple[Op, ...], Durability]
+
+
+class Clock:
+    """Unix time in microseconds, told by the run."""
+
+    def __init__(self) -> None:
+        self.now = 1_000_000
+
+    def __call__(self) -> int:
+        return self.now
+
+
+def script(seed: int, batches: int) -> list[Batch | None]:
+    """A seeded life of a store: batches, and None for a step of upkeep. Few keys: much is overwritten."""
+    rng, out = random.Random(seed), list[Batch | None]()
+    for number in range(batches):
+        ops = []
+        for _ in range(rng.choice((1, 1, 1, 2, 4))):
+            key = b"k%d" % rng.randrange(9)
+            value = b"%d-%d" % (number, rng.randrange(99)) * rng.randrange(1, 9)
+            ops.append(Op(key, None if rng.random() < 0.25 else value))
+        out.append((tuple(ops), Durability.SOON if rng.random() < 0.3 else Durability.SYNCED))
+        out += [None] * rng.choice((0, 0, 1, 3))
+    return out
+
+
+class Life:
+    """One run of a script, as far as it gets."""
+
+    def __init__(self, files: FaultFiles, steps: list[Batch | None]) -> None:
+        self.files, self.clock = files, Clock()
+        self.states: list[State] = [{}]  # after each batch that was asked for
+        self.sure = 0  # the newest state that a synced write acknowledged
+        with contextlib.suppress(PowerLoss, StoreError):
+            self._run(steps)
+
+    def _run(self, steps: list[Batch | None]) -> None:
+        store = open_store(self.files, NODE, self.clock, SEGMENT)
+        for step in steps:
+            if step is None:
+                with contextlib.suppress(Full):
+                    store.maintain(300)
+                continue
+            ops, durability = step
+            state = dict(self.states[-1])
+            for op in ops:
+                if op.value is None:
+                    state.pop(op.key, None)
+                else:
+                    state[op.key] = op.value
+            self.states.append(state)
+            try:
+                store.write(ops, durability)
+            except Full:
+                self.states.pop()
+                continue
+            if durability is Durability.SYNCED:
+                self.sure = len(self.states) - 1
+
+
+def contents(files: FaultFiles, clock: Callable[[], int]) -> State:
+    """What a store holds after recovery, record by record. StoreError: it can't be opened or read."""
+    store = open_store(files, NODE, clock, SEGMENT)
+    try:
+        return dict(store.items())
+    finally:
+        store.close()
+
+
+class Verdicts:
+    """What the recoveries of a run came to."""
+
+    def __init__(self) -> None:
+        self.counts: Counter[str] = Counter()
+        self.slowest = 0.0
+        self.cases: list[str] = []
+
+    def judge(self, files: FaultFiles, life: Life, what: str, damage: bool = False) -> None:
+        """Recover and compare; `damage`: bytes were changed, so Damaged and older tails are allowed."""
+        self.counts["recoveries"] += 1
+        started = time.perf_counter()
+        try:
+            found = contents(files, life.clock)
+        except Damaged as err:
+            if damage:
+                self.counts["named"] += 1
+            else:
+                self._bad("lost", f"{what}: {err}")
+            return
+        except StoreError as err:
+            self._bad("lost", f"{what}: {err!r}")
+            return
+        finally:
+            self.slowest = max(self.slowest, time.perf_counter() - started)
+        least = 0 if damage else life.sure
+        if found not in life.states[least:]:
+            self._bad(self._kind(found, life, least), f"{what}: {found} is no state from {least} on")
+
+    @staticmethod
+    def _kind(found: State, life: Life, least: int) -> str:
+        """Which promise a state breaks: an old one lost something, else a batch is in part there or back."""
+        if found in life.states[:least]:
+            return "lost"
+        ever = {(k, v) for state in life.states[least:] for k, v in state.items()}
+        return "half_batches" if set(found.items()) <= ever else "resurrected"
+
+    def _bad(self, kind: str, case: str) -> None:
+        self.counts[kind] += 1
+        if len(self.cases) < 5:
+            self.cases.append(f"{kind}: {case}"[:400])
+
+
+def power_losses(
+    seed: int, batches: int, draws: int, subsets: int, verdicts: Verdicts, every: int = 1
+) -> int:
+    """The machine goes at each step of a life; how many steps. Twice over: in the recovery as well."""
+    steps = script(seed, batches)
+    whole = Life(FaultFiles(), steps).files.steps
+    rng = random.Random(seed)
+    for at in range(0, whole, every):
+        files = FaultFiles()
+        files.loss_at = at
+        life = Life(files, steps)
+        verdicts.judge(files.after_kill(), life, f"killed at {at}")
+        for n, state in enumerate(files.every_loss(subsets)):
+            verdicts.judge(state, life, f"loss at {at}, set {n}")
+        for n in range(draws):
+            state = files.after_loss(rng, rng.choice((0.1, 0.5, 0.9)))
+            _again(state, rng, life, verdicts, f"loss at {at}, draw {n}")
+    return whole
+
+
+def _again(state: FaultFiles, rng: random.Random, life: Life, verdicts: Verdicts, what: str) -> None:
+    """A second loss in the recovery from the first one, and then a recovery that may finish."""
+    state.loss_at = rng.randrange(12)
+    with contextlib.suppress(PowerLoss, StoreError):
+        open_store(state, NODE, life.clock, SEGMENT).maintain(300)
+    state.loss_at = -1
+    verdicts.judge(state.after_loss(rng, rng.random()), life, f"{what}, twice")
+
+
+def failures(seed: int, batches: int, verdicts: Verdicts, every: int = 1) -> int:
+    """Each call fails once, with EIO or ENOSPC, then the machine goes; how many faults."""
+    steps, rng, count = script(seed, batches), random.Random(seed + 1), 0
+    probe = Life(FaultFiles(), steps).files
+    for at in range(0, probe.steps, every):
+        for code in (errno.EIO, errno.ENOSPC):
+            files = FaultFiles()
+            files.fail[at] = code
+            life = Life(files, steps)
+            count += 1
+            verdicts.judge(files.after_kill(), life, f"errno {code} at {at} ({probe.kinds[at]}), killed")
+            state = files.after_loss(rng, rng.random())
+            verdicts.judge(state, life, f"errno {code} at {at} ({probe.kinds[at]}), loss")
+    return count
+
+
+def touched(seed: int, batches: int, verdicts: Verdicts, every: int = 1) -> int:
+    """Cut and flip at each offset of each file of a store in the middle of its life; how many offsets."""
+    steps = script(seed, batches)
+    files = FaultFiles()
+    life = Life(files, steps)
+    whole = {name: bytes(inode.seen) for name, inode in files.seen.items()}
+    rng, offsets = random.Random(seed + 2), 0
+    for name, data in whole.items():
+        for at in range(rng.randrange(every), len(data), every):
+            offsets += 1
+            flipped = bytearray(data)
+            flipped[at] ^= 1 << rng.randrange(8)
+            for change, how in ((data[:at], "cut"), (bytes(flipped), "flipped")):
+                state = FaultFiles({**whole, name: change})
+                verdicts.judge(state, life, f"{name} {how} at {at}", damage=True)
+        for change in (b"", bytes(len(data))):
+            verdicts.judge(FaultFiles({**whole, name: change}), life, f"{name} emptied", damage=True)
+    return offsets
+
+
+def run(seed: int, full: bool) -> dict[str, Any]:
+    """All of it; `full`: every step and every offset, with more draws."""
+    verdicts, started = Verdicts(), time.monotonic()
+    batches, every = (60, 1) if full else (36, 3)
+    faults = power_losses(seed, batches, 6 if full else 2, 10 if full else 6, verdicts, every)
+    faults += failures(seed, batches, verdicts, every)
+    offsets = touched(seed, batches, verdicts, 1 if full else 5)
+    return {
+        "offsets": offsets, "faults": faults, "recoveries": verdicts.counts["recoveries"],
+        "named": verdicts.counts["named"], "lost": verdicts.counts["lost"],
+        "half_batches": verdicts.counts["half_batches"], "resurrected": verdicts.counts["resurrected"],
+        "max_recovery_ms": round(verdicts.slowest * 1000, 1), "took_s": round(time.monotonic() - started, 1),
+        "cases": verdicts.cases,
+    }  # fmt: skip
+
--- a/tansyladder/net/resuming.py
+++ b/tansyladder/net/resuming.py
@@ -61,6 +61,11 @@
         text = self.keyring.seal(self.ledger.issue(session, expiry), binding(opening))
         return words.token(text, self.options.expires // timedelta(milliseconds=1))
 
+    @property
+    def parked(self) -> int:
+        """Sessions without a client."""
+        return self._parked
+
     def park(self) -> bool:
         """Count a session that has lost its client; False where too many wait already."""
         with self._lock:
--- /dev/null
+++ b/tansyladder/store/errors.py
@@ -0,0 +1,63 @@
+"""What can go wrong with a store; each error says what it asks of the operator."""
+
+from __future__ import annotations
+
+
+class StoreError(Exception):
+    """The store can't be used, or not for this; `word` names the case in logs and exit messages."""
+
+    word = "store"
+
+
+class Locked(StoreError):
+    """Another process owns the directory."""
+
+    word = "locked"
+
+
+class Unusable(StoreError):
+    """The directory can't be read or written."""
+
+    word = "unusable"
+
+
+class Newer(StoreError):
+    """A later version wrote it."""
+
+    word = "newer"
+
+
+class Foreign(StoreError):
+    """It belongs to another node."""
+
+    word = "foreign"
+
+
+class Damaged(StoreError):
+    """Something that had been on disk is not there, or not as it was; `repair` saves the rest elsewhere."""
+
+    word = "damaged"
+
+
+class Full(StoreError):
+    """No room for this write; nothing of it is kept, and later ones may go through."""
+
+    word = "full"
+
+
+class Broken(StoreError):
+    """A write or a sync failed in a way that leaves open what is on disk; the store takes nothing more."""
+
+    word = "broken"
+
+
+class Collision(StoreError):
+    """A key whose 64-bit hash is that of another one: once in 37 million stores of a million keys."""
+
+    word = "collision"
+
+
+class TooLarge(StoreError):
+    """A key, a value or a batch over its bound."""
+
+    word = "too_large"
--- /dev/null
+++ b/tansyladder/store/manifest.py
@@ -0,0 +1,71 @@
+"""The manifest: which segments make up the store, in the order of their age. Replaced in one step."""
+
+from __future__ import annotations
+
+import msgspec
+import xxhash
+
+from tansyladder.store.errors import Damaged, Newer
+from tansyladder.store.files import Files
+
+NAME, NEW = "MANIFEST", "MANIFEST.new"
+MAGIC = b"TLMAN\n"
+VERSION = 1
+MOST = 16 << 20
+
+
+class Unsure(OSError):
+    """It is not known which of two manifests is on disk: only what both of them name counts."""
+
+
+class Listed(msgspec.Struct, frozen=True):
+    """One segment; `size` is -1 for the one that is written to."""
+
+    id: int
+    size: int
+
+
+class Manifest(msgspec.Struct, frozen=True):
+    """The whole of it; `secret` keys the hashes of the index, in hexadecimal digits."""
+
+    version: int
+    node: str
+    secret: str
+    next: int
+    segments: tuple[Listed, ...]
+
+
+def write(files: Files, manifest: Manifest) -> None:
+    """Put a manifest in the last one's place; on disk when this returns. OSError: the old one; Unsure."""
+    body = msgspec.json.encode(manifest)
+    file = files.create(NEW)
+    try:
+        check = xxhash.xxh3_64_hexdigest(body).encode()
+        file.write_at(0, MAGIC + check + b"\n" + body)
+        file.sync()
+    finally:
+        file.close()
+    try:
+        files.rename(NEW, NAME)
+        files.sync_names()
+    except OSError as err:
+        raise Unsure(err.errno, f"{NAME}: {err}") from err
+
+
+def read(files: Files) -> Manifest:
+    """The manifest. Damaged, or Newer where a later version wrote it."""
+    file = files.open(NAME)
+    try:
+        data = file.read_at(0, MOST)
+    finally:
+        file.close()
+    magic, check, body = data[: len(MAGIC)], data[len(MAGIC) : len(MAGIC) + 16], data[len(MAGIC) + 17 :]
+    if magic != MAGIC or check != xxhash.xxh3_64_hexdigest(body).encode():
+        raise Damaged(f"{NAME}: not as it was written")
+    try:
+        version = msgspec.json.decode(body, type=dict[str, object]).get("version")
+        if isinstance(version, int) and version > VERSION:
+            raise Newer(f"{NAME}: version {version}, and this program knows up to {VERSION}")
+        return msgspec.json.decode(body, type=Manifest)
+    except msgspec.MsgspecError as err:
+        raise Damaged(f"{NAME}: {err}") from err
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -6,6 +6,7 @@
 import socket
 import struct
 import threading
+import time
 from collections.abc import Callable
 from datetime import timedelta
 from pathlib import Path
@@ -90,6 +91,15 @@
     def say(self, *lines: str) -> None:
         self.peer.say(*lines)
 
+    def lose(self) -> None:
+        """Its connection breaks, and the node has noticed."""
+        resuming = self.node.core.resuming
+        assert resuming is not None
+        before, until = resuming.parked, time.monotonic() + 10
+        drop(self.peer)
+        while resuming.parked == before and time.monotonic() < until:
+            time.sleep(0.002)
+
     def back(self, over: str = "", key: str = "", token: str = "") -> Peer:
         """A new connection with the token."""
         names = over or f"{OFFER},rp={self.frames}"
@@ -265,16 +275,16 @@
         assert [viewer.hear(), viewer.hear()] == ["UP r1", "F 1"]
         viewer.say("M 1")
         assert viewer.hear() == "F 2"
-        drop(viewer.peer)
+        viewer.lose()
         dead.set()
         n.core.wait_for(api.Outcome)
         full = viewer.back("c=chat,d=700,g=5c,rp=2")
         assert re.fullmatch("BUSY [0-9]+", full.hear()) and full.hear() == ""
         room.set()
-        answer = ""
-        while not answer.startswith("UP"):  # the hosts are marked for a while
+        for _ in range(30):  # the hosts are marked for a while
             viewer.peer = viewer.back()
-            answer = viewer.hear()
+            if not (answer := viewer.hear()).startswith("BUSY"):
+                break
         assert [answer, viewer.hear(), viewer.hear()] == ["UP r9", "RS AT 1", "F 3"]
 
 
@@ -304,6 +314,29 @@
         assert epochs == list(range(1, len(epochs) + 1)) and len(epochs) >= 3
 
 
+def test_a_client_that_leaves_during_a_move_finds_its_session_moved(tmp_path: Path) -> None:
+    gone = threading.Event()
+
+    def leaves(peer: Peer, names: dict[str, str]) -> None:
+        at_start(peer, "F 1", "MOVE")
+        peer.hear()
+
+    def goes_on(peer: Peer, names: dict[str, str]) -> None:
+        assert gone.wait(5)
+        peer.say("UP r2", "RS AT 0 1", "F 2")
+        peer.hear()
+
+    hosts = [two(leaves, goes_on) for _ in range(2)]
+    with node(tmp_path, *(h.listener for h in hosts), resume=ON, settings=LONG) as n:
+        viewer = Viewer(n)
+        assert [viewer.hear(), viewer.hear()] == ["UP r1", "F 1"]
+        n.core.wait_for(api.Request, 2)
+        drop(viewer.peer)
+        gone.set()
+        viewer.peer = viewer.back()
+        assert [viewer.hear() for _ in range(3)] == ["UP r1", "RS AT 0", "F 2"]
+
+
 def test_where_nobody_has_room_the_client_is_moved_as_ever(tmp_path: Path) -> None:
     def host(peer: Peer, names: dict[str, str]) -> None:
         if names["re"] != "1":
@@ -331,7 +364,7 @@
         stands, parked = Viewer(n), Viewer(n, key="80")
         for viewer in (stands, parked):
             viewer.begin()
-        drop(parked.peer)
+        parked.lose()
         n.core.tell_members(MemberList(2, True, entries), api.ListKind.FULL)
         entries[0].phase = "draining"
         n.core.tell_members(MemberList(3, True, entries), api.ListKind.FULL)
@@ -352,7 +385,7 @@
         stands, parked = Viewer(n), Viewer(n, key="80")
         for viewer in (stands, parked):
             viewer.begin()
-        drop(parked.peer)
+        parked.lose()
         draining = threading.Thread(target=n.front.drain)
         draining.start()
         while not n.core.draining:
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,309 @@
+"""The store: a stateful property against a dict, every fault of the stand-in, and its named errors."""
+
+from __future__ import annotations
+
+import json
+import random
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+
+import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from tansyladder.lab import storefaults
+from tansyladder.lab.faultfs import FaultFiles
+from tansyladder.lab.storekill import play as kill_loop
+from tansyladder.store import Durability, Op, Store, StoreError, errors, frames, hints, manifest, open_store
+from tansyladder.store.files import RealFiles
+from tansyladder.store.frames import MOST_KEY, MOST_VALUE
+from tansyladder.store.repair import examine, repair
+
+KEYS = [b"k%d" % n for n in range(6)]
+
+
+class Dict(RuleBasedStateMachine):
+    """One store on the stand-in: reopening, power losses, upkeep, snapshots, a clock that steps back."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.files, self.clock = FaultFiles(), storefaults.Clock()
+        self.rng = random.Random(5)
+        self.model: dict[bytes, tuple[bytes, int]] = {}
+        self.store = self._open()
+        self.kept: list[tuple[object, dict[bytes, bytes]]] = []
+
+    def _open(self) -> Store:
+        return open_store(self.files, "n1", self.clock, 400)
+
+    @rule(
+        ops=st.lists(
+            st.tuples(st.sampled_from(KEYS), st.none() | st.binary(max_size=90), st.sampled_from((0, 5, 40))),
+            min_size=1, max_size=4,
+        ),
+        durability=st.sampled_from(Durability),
+    )  # fmt: skip
+    def write(self, ops: list[tuple[bytes, bytes | None, int]], durability: Durability) -> None:
+        made = [Op(key, value, life and self.clock.now + life) for key, value, life in ops]
+        self.store.write(made, durability)
+        for key, value, expiry in made:
+            if value is None:
+                self.model.pop(key, None)
+            else:
+                self.model[key] = (value, expiry)
+
+    @rule(step=st.integers(-30, 60))
+    def time_steps(self, step: int) -> None:
+        self.clock.now += step
+
+    @rule(steps=st.integers(1, 8), budget=st.integers(1, 600))
+    def upkeep(self, steps: int, budget: int) -> None:
+        for _ in range(steps):
+            self.store.maintain(budget)
+
+    @rule()
+    def all_upkeep(self) -> None:
+        self.store.compact_all()
+
+    @rule()
+    def reopen(self) -> None:
+        self.store.close()
+        self.store = self._open()
+
+    @rule(keep=st.floats(0, 1))
+    def power_goes_after_a_sync(self, keep: float) -> None:
+        self.store.maintain(1)
+        self.files = self.files.after_loss(self.rng, keep)
+        self.store = self._open()
+
+    @rule()
+    def keep_a_snapshot(self) -> None:
+        snapshot = self.store.snapshot()
+        there = {k: v for k in KEYS if (v := self.store.get(k)) is not None}
+        self.kept.append((snapshot, there))
+
+    @precondition(lambda self: self.kept)
+    @rule()
+    def read_a_snapshot(self) -> None:
+        snapshot, then = self.kept.pop()
+        found = {k: v for k, v, _ in snapshot.items()}  # type: ignore[attr-defined]
+        assert then.items() <= found.items()
+        snapshot.close()  # type: ignore[attr-defined]
+
+    @invariant()
+    def it_is_the_dict(self) -> None:
+        moment = max(self.clock.now, self.store._stamp)
+        alive = {k: v for k, (v, expiry) in self.model.items() if not expiry or expiry > moment}
+        assert {k: v for k in KEYS if (v := self.store.get(k)) is not None} == alive
+        stats = self.store.stats
+        assert 0 <= stats["live"] <= stats["bytes"]
+
+
+TestDict = Dict.TestCase
+TestDict.settings = settings(
+    max_examples=100, stateful_step_count=40, deadline=None, derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)  # fmt: skip
+
+
+def test_no_fault_of_the_files_loses_what_was_acknowledged() -> None:
+    """Power losses at steps of a life and of its recovery, calls that fail, and files cut and flipped."""
+    found = storefaults.run(1, False)
+    assert not found["cases"], found
+    assert (found["lost"], found["half_batches"], found["resurrected"]) == (0, 0, 0)
+    assert found["recoveries"] > 2000 and found["named"] > 100
+
+
+def test_a_writer_that_is_killed_keeps_its_word(tmp_path: Path) -> None:
+    found = kill_loop(tmp_path, seed=3, rounds=6)
+    assert (found["lost"], found["wrong"]) == (0, 0) and found["acknowledged"] > 0
+
+
+def fresh(files: FaultFiles | None = None, size: int = 400) -> tuple[FaultFiles, Store]:
+    files = files or FaultFiles()
+    return files, open_store(files, "n1", storefaults.Clock(), size)
+
+
+def full(upkeep: bool = False) -> FaultFiles:
+    """A closed store of forty keys in several sealed segments, or with upkeep in few of them, with hints."""
+    files, store = fresh()
+    for n in range(40):
+        store.put(b"key%d" % n, b"value%d" % n * 3)
+    if upkeep:
+        store.compact_all()
+    store.close()
+    return files
+
+
+def test_each_error_has_its_name(tmp_path: Path) -> None:
+    files = full()
+    with pytest.raises(errors.Foreign, match="'n1'"):
+        open_store(files, "n2", storefaults.Clock())
+    _, store = fresh(files)
+    with pytest.raises(errors.Locked):
+        open_store(files, "n1", storefaults.Clock())
+    store.close()
+    told = manifest.read(files)
+    manifest.write(files, manifest.Manifest(9, told.node, told.secret, told.next, told.segments))
+    with pytest.raises(errors.Newer, match="version 9"):
+        fresh(files)
+    with pytest.raises(errors.Damaged, match="missing"):
+        fresh(FaultFiles({"0000000000000001.log": b""}))
+    (tmp_path / "file").write_text("")
+    with pytest.raises(OSError):
+        RealFiles(tmp_path / "file" / "folder")
+    one = open_store(RealFiles(tmp_path / "real"), "n1", storefaults.Clock())
+    with pytest.raises(errors.Locked):
+        open_store(RealFiles(tmp_path / "real"), "n1", storefaults.Clock())
+    one.close()
+    with pytest.raises(errors.Broken, match="closed"):
+        one.put(b"k", b"v")
+
+
+def test_bounds_of_keys_values_and_batches() -> None:
+    files, store = fresh(size=4 << 20)
+    store.write([Op(b"k" * MOST_KEY, b"v" * MOST_VALUE), Op(b"k", b"")])
+    for ops in (
+        [Op(b"", b"v")], [Op(b"k" * (MOST_KEY + 1), b"v")], [Op(b"k", b"v" * (MOST_VALUE + 1))],
+        [Op(b"k", b"v", -1)], [Op(b"k", b"v")] * 65_536,
+        [Op(b"k%d" % n, b"v" * MOST_VALUE) for n in range(17)],
+    ):  # fmt: skip
+        with pytest.raises(errors.TooLarge):
+            store.write(ops)
+    store.close()
+    _, store = fresh(files)
+    assert store.get(b"k" * MOST_KEY) == b"v" * MOST_VALUE and store.get(b"k") == b"" and len(store) == 2
+
+
+def test_what_was_expired_stays_so_when_the_clock_steps_back() -> None:
+    files, clock = FaultFiles(), storefaults.Clock()
+    store = open_store(files, "n1", clock, 400)
+    store.put(b"k", b"old")
+    store.put(b"k", b"new", expiry=clock.now + 10)
+    clock.now += 20
+    store.put(b"other", b"x")
+    clock.now -= 20
+    assert store.get(b"k") is None
+    store.close()
+    store = open_store(files, "n1", clock, 400)
+    assert store.get(b"k") is None
+    store.compact_all()
+    assert store.get(b"k") is None and dict(store.items()) == {b"other": b"x"}
+
+
+def test_many_writers_share_a_sync_and_each_has_its_own_word(tmp_path: Path) -> None:
+    """Also where the disk fails in the middle: who was told of success finds its record after a loss."""
+    files, store = fresh(size=1 << 20)
+    said: dict[bytes, bytes] = {}
+
+    def work(which: int) -> None:
+        for n in range(60):
+            key, value = b"%d-%d" % (which, n), b"%d" % n
+            try:
+                store.put(key, value)
+            except StoreError:
+                return
+            said[key] = value
+
+    def others_come() -> None:
+        for _ in range(200):
+            if len(store._queue) >= 8:
+                return
+            time.sleep(0.0005)
+
+    files.before_sync = others_come
+    files.fail[files.steps + 60] = 5
+    threads = [threading.Thread(target=work, args=(n,)) for n in range(16)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join(20)
+    assert not any(thread.is_alive() for thread in threads)
+    syncs = files.kinds.count("sync")
+    assert len(said) > 4 * syncs
+    with pytest.raises(errors.Broken):
+        store.put(b"k", b"v")
+    _, again = fresh(files.after_loss(random.Random(1), 0.5), 1 << 20)
+    assert said.items() <= dict(again.items()).items()
+
+
+def test_a_frame_inside_a_value_is_no_frame() -> None:
+    """Nor is one that an earlier write left behind: each check is good at its own place alone."""
+    body = frames.op_bytes(frames.PUT, b"evil", b"x", 99, 0, 1, 40 + frames.FRAME_SIZE)
+    fake = frames.frame_bytes(body, 1, 10**9, 0, 1, 40)
+    files, store = fresh(size=1 << 16)
+    store.put(b"a", fake)
+    store.put(b"b", b"y", durability=Durability.SOON)
+    inode = files.seen[f"{store.active:016x}.log"]
+    inode.seen = inode.seen[:-1]  # the last record is torn
+    _, store = fresh(files.after_kill())
+    assert dict(store.items()) == {b"a": fake} and store.dropped > 0
+
+
+def test_repair_saves_what_can_be_read_and_changes_nothing() -> None:
+    files = full()
+    whole = {name: bytes(inode.seen) for name, inode in files.seen.items()}
+    assert not examine(FaultFiles(whole)).faults
+    victim = sorted(name for name in whole if name.endswith(".log"))[1]
+    hurt = bytearray(whole[victim])
+    hurt[frames.HEAD_SIZE + frames.FRAME_SIZE + 30] ^= 1
+    broken = {**whole, victim: bytes(hurt)}
+    with pytest.raises(errors.Damaged, match=victim):
+        fresh(FaultFiles(broken))
+    source, target = FaultFiles(broken), FaultFiles()
+    done = repair(source, target, storefaults.Clock())
+    assert {n: bytes(i.seen) for n, i in source.seen.items()} == broken
+    assert done.kept == 39 and done.lost_sequences == 1 and victim in done.faults[0]
+    _, store = fresh(target)
+    assert len(store) == 39
+    with pytest.raises(StoreError, match="not empty"):
+        repair(source, target, storefaults.Clock())
+
+
+def test_a_hint_is_only_a_shortcut() -> None:
+    files = full(upkeep=True)
+    _, store = fresh(files)
+    assert store.rebuilt == 0 and any(name.endswith(".hint") for name in files.names())
+    store.close()
+    for name, inode in files.seen.items():
+        if name.endswith(".hint"):
+            inode.seen[len(inode.seen) // 2] ^= 4
+    _, store = fresh(files)
+    assert store.rebuilt > 0 and len(store) == 40
+    assert hints.Hint.decode(b"", 1, 1) is None
+
+
+def test_the_tool_tells_what_is_there(tmp_path: Path) -> None:
+    folder = tmp_path / "store"
+    store = open_store(RealFiles(folder), "n1", storefaults.Clock(), 400)
+    for n in range(60):
+        store.put(b"k%d" % (n % 5), b"value" * 4)
+    store.close()
+
+    def run(*words: str) -> subprocess.CompletedProcess[str]:
+        return subprocess.run(
+            [sys.executable, "-m", "tansyladder", "store", *words], capture_output=True, text=True, timeout=30
+        )
+
+    assert "sealed" in run("inspect", str(folder)).stdout
+    assert run("verify", str(folder)).returncode == 0
+    assert "5 keys" in run("compact", str(folder)).stdout
+    lines = [json.loads(line) for line in run("dump", str(folder)).stdout.splitlines()]
+    assert {bytes.fromhex(line["key"]) for line in lines} == {b"k%d" % n for n in range(5)}
+    log = next(folder.glob("*.log"))
+    data = bytearray(log.read_bytes())
+    data[60] ^= 1
+    log.write_bytes(data)
+    for hint in folder.glob("*.hint"):
+        hint.unlink()
+    done = run("verify", str(folder))
+    assert done.returncode == 1 and "broken" in done.stderr
+    done = run("dump", str(folder))
+    assert done.returncode == 3 and done.stderr.startswith("damaged:") and "Traceback" not in done.stderr
+    assert run("repair", str(folder), str(tmp_path / "new")).returncode == 0
+    assert run("verify", str(tmp_path / "new")).returncode == 0
+
