--- a/tansyladder/lab/node.py
+++ b/tansyladder/lab/node.py
@@ -23,10 +23,11 @@
         {"name": "viewport", "slo": 300_000, "hard_limit": 1_200_000, "worth": 5.0},
         {"name": "preview", "slo": 500_000, "hard_limit": 2_000_000, "worth": 1.0},
     ],
-    "extra": {"message_aim": [250_000, 50_000], "tells_delay": True},
+    # One event loop plays all hosts: its own lag would pass for late messages, and for slow hosts with probes.
+    "extra": {"message_aim": [250_000, 50_000], "tells_delay": False},
     "ceilings": {
         "attempts_cap": 4, "connect_timeout": 75_000, "retry_after": True, "max_retry_after": 1_000_000,
-        "probes": False,  # one event loop plays all hosts: its own lag would pass for theirs
+        "probes": False,
     },
     "rules": {
         "ask_within": 6_000_000, "stop_sending_within": 2_500_000, "cold_from": 0.13, "cold": 23_000_000,
