--- a/tansyladder/lab/node.py
+++ b/tansyladder/lab/node.py
@@ -23,7 +23,7 @@
         {"name": "viewport", "slo": 300_000, "hard_limit": 1_200_000, "worth": 5.0},
         {"name": "preview", "slo": 500_000, "hard_limit": 2_000_000, "worth": 1.0},
     ],
-    # One event loop plays all hosts: its own lag would pass for late messages, and for slow hosts with probes.
+    # One event loop plays all hosts: its lag would pass for late messages, and with probes for slow hosts.
     "extra": {"message_aim": [250_000, 50_000], "tells_delay": False},
     "ceilings": {
         "attempts_cap": 4, "connect_timeout": 75_000, "retry_after": True, "max_retry_after": 1_000_000,
