--- a/tansyladder/resume/words.py
+++ b/tansyladder/resume/words.py
@@ -12,7 +12,6 @@
 START = b"RS "
 END = b"RS END\r\n"
 MOST_POSITION = 10**15  # lines: no session gets that far, and no figure of thousands of digits is read
-MOST_PLACE = 1 << 32  # of epochs
 _ACK = re.compile(rb"RS ACK ([0-9]{1,16})\r\n\Z")
 _AT = re.compile(rb"RS AT ([0-9]{1,16}) ([0-9]{1,16})\r\n\Z")
 
--- a/tansyladder/store/engine.py
+++ b/tansyladder/store/engine.py
@@ -62,7 +62,6 @@
     synced: bool
     gate: threading.Lock = field(default_factory=threading.Lock)
     leads: bool = False
-    done: bool = False
     error: StoreError | None = None
 
 
@@ -220,7 +219,7 @@
             if heir is not None:
                 heir.leads = True
         for batch in group:
-            batch.error, batch.done = error, True
+            batch.error = error
             if not batch.leads:
                 batch.gate.release()
         if heir is not None:
@@ -333,9 +332,10 @@
         except OSError:
             file.close()
             raise
-        self._next = number + 1
-        self._segments = {**self._segments, number: segment}
-        self._order, self._active, self._synced = order, segment, frames.HEAD_SIZE
+        with self._lock:  # not before: no reader waits for the disk
+            self._next = number + 1
+            self._segments = {**self._segments, number: segment}
+            self._order, self._active, self._synced = order, segment, frames.HEAD_SIZE
         return segment
 
     def _write_manifest(
@@ -352,8 +352,7 @@
         """Seal the active segment and begin the next; it is on disk before the manifest says so."""
         self._sync()
         try:
-            with self._lock:  # readers see the old list of segments or the new one
-                self._begin_segment()
+            self._begin_segment()
         except OSError as err:
             raise self._failed(err, "new segment") from err
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -343,3 +343,20 @@
     assert run("repair", str(folder), str(tmp_path / "new")).returncode == 0
     assert run("verify", str(tmp_path / "new")).returncode == 0
 
+
+
+def test_a_manifest_in_doubt_ends_the_writing(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its rename may be on disk and seal the segment: what was appended behind that size would be lost."""
+    files, store = fresh()
+    real, calls = files.sync_names, list[int]()
+
+    def no_room() -> None:
+        calls.append(1)
+        if len(calls) == 2:  # the first is for the new segment's name
+            raise OSError(28, "no room")
+        real()
+
+    monkeypatch.setattr(files, "sync_names", no_room)
+    with pytest.raises(errors.Broken):
+        for n in range(40):
+            store.put(b"k%d" % n, b"v" * 40)
