Probe every member that has sent no delay note, whatever the settings promise

Change: probe_pace always holds; the module leaves a member out of its round, of timing, and of the rule that a guess turns nobody away, once that member's process has sent a note of its own. Delays that the node timed are a note of another kind and stop no probes. The counts line says how many notes a node heard.

Guards: without the rest, with timed delays as notes, or with one length of memory, tests/test_probes.py fails.

--- a/tansyladder/choice.py
+++ b/tansyladder/choice.py
@@ -62,7 +62,7 @@
     __slots__ = (
         "id", "zone", "cell", "size", "state", "ready_at", "told_at", "seed", "mark", "strain", "strain_at",
         "added", "added_at", "delay", "delay_at", "conns", "load", "trying", "credit", "credit_at", "moves",
-        "moving", "probing", "waiting", "best", "doubt", "timed", "groups",
+        "moving", "probing", "waiting", "best", "doubt", "timed", "groups", "late_to", "tells",
     )  # fmt: skip
 
     def __init__(self, line: api.Line, now: int) -> None:
@@ -83,12 +83,12 @@
         self.ready_at = ready_at
         self.mark = Backoff()
         self.strain, self.strain_at = 0.0, -1
-        self.delay, self.delay_at = 0.0, -1
+        self.delay, self.delay_at, self.late_to = 0.0, -1, 0
         self.added, self.added_at = 0.0, 0  # strain of what this node sent since reports could show it
         self.credit, self.credit_at = -1.0, 0
         self.moves, self.moving = Backoff(), False
         self.best, self.timed = 0, 0  # its quickest answer to a probe; how many bear that out
-        self.doubt = False  # whether the last answer was odd
+        self.doubt = self.tells = False  # whether the last answer was odd; whether it tells of its delays
 
 
 class Pool:
@@ -408,7 +408,7 @@
         return s.added * max(0.0, 1.0 - (self.now - s.added_at) / self.patience)
 
     def _late(self, s: Server) -> bool:
-        return self.now - s.delay_at < self.recall and s.delay > self.message_aim * LATE
+        return self.now < s.late_to and s.delay > self.message_aim * LATE
 
     def _known(self, s: Server) -> bool:
         return s.strain_at >= 0 and self.now - s.strain_at < self.set.cold // 4
@@ -440,9 +440,9 @@
             strain = s.strain + self._added(s)
         else:
             strain = pool.tide * (s.load / (s.size * share) / pool.mean if pool.mean else 1.0)
-            if self.set.probe_pace:  # a guess ranks servers, but turns nobody away where nothing bad is heard
+            if self.set.probe_pace and not s.tells:  # a guess ranks, but turns nobody away
                 strain = min(strain, LIMIT - LEAST)
-        if self.now - s.delay_at < self.recall:
+        if self.now < s.late_to:
             strain = max(strain, s.delay / self.message_aim)
         return float(s.size * share * max(0.0, LIMIT - strain) ** 2)
 
@@ -609,7 +609,7 @@
         if s is None:
             return
         s.probing = False
-        if self.set.probe_pace:
+        if self.set.probe_pace and not s.tells:
             self._timed(s, event)
         if event.status is Status.OK:
             self._report(s, event.load)
@@ -624,9 +624,9 @@
                     self._place(rid)
 
     def _ask_round(self, turn: int) -> None:
-        """Where no notes tell of late messages, each server in turn shows by a probe how quick it is."""
+        """Each server that has told nothing of late messages shows in its turn by a probe how quick it is."""
         ready = self.home.servers + self.away.servers
-        if ready:
+        if ready and not ready[turn % len(ready)].tells:
             self._ask(ready[turn % len(ready)])
         gap = max(ASK_GAP, self.set.probe_pace // max(1, len(ready)))
         self._later(self.now + gap, self._ask_round, turn + 1)
@@ -663,6 +663,7 @@
     def _delayed(self, s: Server, delay: float) -> None:
         """Messages take this long at s."""
         s.delay, s.delay_at = delay, self.now
+        s.late_to = self.now + (self.patience if s.tells else self.recall)
         if s.delay > self.message_aim * LATE:
             self._mark(s)
             self._plan_move(s)
@@ -676,7 +677,8 @@
             if r.server is s:
                 s.load = max(0.0, s.load + event.value - r.load)
                 r.load = event.value
-        elif event.kind == NoteKind.DELAY:
+        elif event.kind in (NoteKind.DELAY, NoteKind.TIMED):
+            s.tells |= event.kind == NoteKind.DELAY  # what was heard decides, not what the settings promise
             self._delayed(s, event.value * 1000)
 
     # --- moves
--- a/tansyladder/config.py
+++ b/tansyladder/config.py
@@ -18,10 +18,11 @@
 from tansyladder.interface import Settings
 from tansyladder.settings import build_settings
 
-# Where the settings say so, members tell in lines `LOAD X` how late their messages are. Elsewhere they echo
-# at once even while they are far behind, so timing the lines shows nothing. Probes show it, but each takes
-# work at its member, which hears them from all nodes: forty nodes that each asked once a second kept members
-# so busy that they looked slow, were marked and lost their connections. So the pace is the fleet's.
+# Members may tell in lines `LOAD X` how late their messages are; some never do, though the settings promise
+# it, and echo at once even while they are far behind, so timing the lines shows nothing. Probes show it, but
+# each takes work at its member, which hears them from all nodes: forty nodes that each asked once a second
+# kept members so busy that they looked slow, were marked and lost their connections. So the pace is the
+# fleet's, and the module asks only who has sent no note.
 PROBE_PACE = timedelta(seconds=1)  # of a node for each member, where there are few nodes
 FLEET_PROBE_PACE = timedelta(milliseconds=150)  # between two probes of a member, from whichever node
 SLOWEST_PROBE_PACE = timedelta(minutes=1)  # however many nodes there are said to be
@@ -243,7 +244,7 @@
         known=read.known,
         settings=replace(
             settings,
-            probe_pace=0 if tells_delay else probe_pace(settings.balancers) // timedelta(microseconds=1),
+            probe_pace=probe_pace(settings.balancers) // timedelta(microseconds=1),
             call_pace=call_pace(settings.balancers) // timedelta(microseconds=1),
             fills=FILLS if settings.balancers > FEW_NODES else 0.0,
         ),
--- a/tansyladder/interface.py
+++ b/tansyladder/interface.py
@@ -111,7 +111,7 @@
     call_pace: int = 0  # in which all nodes may call discovery, its one service, once each; 0: no sockets
     fills: float = 0.0  # connections that fill a unit of a server's size; 0: not known
     retired: frozenset[int] = frozenset()  # classes that only what is under way belongs to still
-    probe_pace: int = 0  # between probes of a server, where no delay notes can be relied on; 0: none needed
+    probe_pace: int = 0  # between probes of a server that has sent no delay notes; 0: none needed
 
     def __post_init__(self) -> None:
         if not self.classes:
@@ -204,7 +204,8 @@
     """What a note is about."""
 
     LOAD = 1
-    DELAY = 2
+    DELAY = 2  # a server's own word
+    TIMED = 3  # a delay that the node timed itself: it says nothing of whether servers tell
 
 
 class Note(NamedTuple):
--- a/tansyladder/net/core.py
+++ b/tansyladder/net/core.py
@@ -324,8 +324,8 @@
     def delay_notes(self, number: int, attempt: int, member: int) -> DelayNotes:
         """What takes in the delays of a standing connection's messages and tells the module where due."""
 
-        def tell(ms: float) -> None:
-            self.tell(api.Note(number, api.NoteKind.DELAY, attempt, member, ms))
+        def tell(kind: api.NoteKind, ms: float) -> None:
+            self.tell(api.Note(number, kind, attempt, member, ms))
 
         return DelayNotes(member, lambda: self.delays, tell)
 
--- a/tansyladder/net/counts.py
+++ b/tansyladder/net/counts.py
@@ -76,6 +76,8 @@
                     self._counts["retries"] += attempt > 0
             case api.Gone(id):
                 self._wanted.pop(id, None)
+            case api.Note(_, api.NoteKind.DELAY):
+                self._counts["notes"] += 1
             case api.Probed(_, status) if status is not Status.OK:
                 self._counts["probe_" + status.name.lower()] += 1
             case _:
--- a/tansyladder/net/delays.py
+++ b/tansyladder/net/delays.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+from tansyladder.interface import NoteKind
 from tansyladder.net import protocol
 from tansyladder.net.clock import now
 
@@ -63,7 +64,7 @@
     __slots__ = ("_member", "_meter", "_tell")
 
     def __init__(
-        self, member: int, meter: Callable[[], DelayMeter | None], tell: Callable[[float], None]
+        self, member: int, meter: Callable[[], DelayMeter | None], tell: Callable[[NoteKind, float], None]
     ) -> None:
         """`meter`: of the settings in force; none where no delays are told. `tell`: takes milliseconds."""
         self._member, self._meter, self._tell = member, meter, tell
@@ -73,10 +74,10 @@
         meter = self._meter()
         value = meter.heard(self._member, delay) if meter is not None else None
         if value is not None:
-            self._tell(value.total_seconds() * 1000)
+            self._tell(NoteKind.TIMED, value.total_seconds() * 1000)
 
     def told(self, line: bytes) -> None:
         """The member's own word of it; what is no delay is passed by."""
         values = protocol.parse_load(line)
         if self._meter() is not None and len(values) == 1 and 0 <= values[0] < MOST_MS:
-            self._tell(values[0])
+            self._tell(NoteKind.DELAY, values[0])
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -232,7 +232,7 @@
         client.say("M 1")
         assert client.hear() == "M 1"
         note = n.core.wait_for(api.Note)
-        assert (note.kind, note.server) == (api.NoteKind.DELAY, 1) and 110 <= note.value < 300
+        assert (note.kind, note.server) == (api.NoteKind.TIMED, 1) and 110 <= note.value < 300
         time.sleep(1.05)  # what is heard within a second is taken together
         client.say("M 2")
         assert n.core.wait_for(api.Note, 2).value < 100
@@ -240,7 +240,7 @@
 
 @pytest.mark.parametrize("tells", [True, False])
 def test_a_members_load_line_is_a_delay_note_where_delays_are_told(tmp_path: Path, tells: bool) -> None:
-    """Bad values are dropped, the client gets every line; a node that is told sends no probes of its own."""
+    """Bad values are dropped, the client gets every line."""
     bad = ["LOAD", "LOAD x", "LOAD 1 2", "LOAD -3", "LOAD nan", "LOAD 1e300", "LOADS 7"]
     lines = ["LOAD 40.5", *bad, "LOAD 3"]
     extra = {"message_aim": [50_000], "tells_delay": tells}
@@ -250,7 +250,7 @@
         n.core.wait_for(api.Outcome)
         notes = [(e.kind, e.server, e.value) for e in n.core.heard if isinstance(e, api.Note)]
         assert notes == ([(api.NoteKind.DELAY, 1, 40.5), (api.NoteKind.DELAY, 1, 3.0)] if tells else [])
-        assert (n.core.config.settings.probe_pace == 0) is tells
+        assert n.core.config.settings.probe_pace > 0  # a promise of notes alone stops no probes
         client.close()
 
 
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -7,7 +7,19 @@
 import pytest
 
 from tansyladder.config import probe_pace
-from tansyladder.interface import First, Move, Opened, Probe, Probed, Send, Status
+from tansyladder.interface import (
+    First,
+    ListKind,
+    Members,
+    Move,
+    Note,
+    NoteKind,
+    Opened,
+    Probe,
+    Probed,
+    Send,
+    Status,
+)
 from tests.helpers import MS, START, Node, S, line
 
 
@@ -173,3 +185,33 @@
         ]
         assert again[0].server == 3 - first.server
         node.give(First(again[0].id, 1, again[0].server, MS))
+
+
+def test_probes_rest_only_at_members_that_sent_a_delay_note() -> None:
+    """A node that took the promise of notes for the notes was blind where hosts sent none."""
+    node = Node([line(1), line(2)], probes=True, probe_pace=S)
+    node.give(Opened(1, 0, 0, 1), Opened(2, 0, 0, 2))
+    # A member's own word for one; for the other only what the node timed itself.
+    node.give(Note(1, NoteKind.DELAY, 0, 1, 20.0), Note(2, NoteKind.TIMED, 0, 2, 20.0))
+
+    def asked(stretch: int) -> set[int]:
+        met, end = set(), node.now + stretch
+        while node.now < end:
+            for probe in [a for a in node.step() if isinstance(a, Probe)]:
+                met.add(probe.server)
+                node.give(Probed(probe.server, Status.OK, 5 * MS))
+        return met
+
+    assert asked(5 * S) == {2}
+    node.give(Members(ListKind.DELTA, (line(1, ready_at=node.now),)))  # a new process
+    assert asked(5 * S) == {1, 2}
+
+
+@pytest.mark.parametrize(("kind", "late"), [(NoteKind.DELAY, False), (NoteKind.TIMED, True)])
+def test_a_told_delay_counts_as_over_when_no_note_repeats_it(kind: NoteKind, late: bool) -> None:
+    """Probes of a large fleet come each half minute; who tells says it again each second while it holds."""
+    node = Node([line(1), line(2)], probes=True, probe_pace=30 * S)
+    node.give(Opened(1, 0, 0, 1), Note(1, kind, 0, 1, 300.0))
+    node.run(node.now + 3 * S)
+    node.give()
+    assert node.node._late(node.node.servers[1]) is late
