Play faults between several nodes and check one history of all that was seen

Need: nothing in the tree started more than two nodes and put faults between them. Change: tansyladder/lab/chaos. N real nodes on the operator's settings with one key of tokens, hosts and their session store in a process of their own with a door for each node, a link for every way (delays, holds, cuts one way, resets), a front that goes on sending to a node for 2 s after it last answered PING, clients that come back by token, take 2 s of silence for a dead connection and keep a token that was answered BUSY or not at all. Faults are drawn from a seed, written to a file and played from it. Hosts, clients, the front and the rig write one history; six checkers read only that. Found on the way: in lab/clients.py a missing answer never counted as one, as TimeoutError is an OSError and its branch stood second; it stands first now.

Each checker finds its own fault and no other in histories made for that (17 rows).

--- /dev/null
+++ b/tansyladder/lab/chaos/hosts.py
@@ -0,0 +1,61 @@
+"""Stand-in hosts and their session store in a process of their own; a door at each host for each node.
+
+    python -m tansyladder.lab.chaos.hosts HOSTS NODES SEED HISTORY
+
+It prints the doors' addresses as one JSON line and ends when its standard input does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+
+import msgspec
+
+from tansyladder.lab.chaos.history import History
+from tansyladder.lab.hosts import Held, Host, World
+from tansyladder.lab.report import Report
+
+LOOK = 0.2  # seconds between two looks at what is held, and writes of the history
+
+
+class WatchedWorld(World):
+    """All hosts write down what they take, refuse and hear."""
+
+    def __init__(self, seed: int, history: History) -> None:
+        super().__init__(Report(), seed)
+        self.history = history
+
+    def saw(self, what: str, held: Held, number: int = 0) -> None:
+        self.history.add(
+            "host", what, node=held.door, host=held.host.ident, session=held.session, epoch=held.epoch,
+            number=number,
+        )  # fmt: skip
+
+
+async def serve(hosts: int, nodes: int, seed: int, path: Path) -> None:
+    """Until standard input ends."""
+    with path.open("wb") as out:
+        history = History(out)
+        world = WatchedWorld(seed, history)
+        made = [Host(world, f"s{i}") for i in range(hosts)]
+        for host in made:
+            await host.start(nodes)
+        sys.stdout.write(msgspec.json.encode([host.doors for host in made]).decode() + "\n")
+        sys.stdout.flush()
+        end = asyncio.get_running_loop().run_in_executor(None, sys.stdin.read)
+        while not end.done():
+            await asyncio.wait([end], timeout=LOOK)
+            history.flush()
+        for host in made:
+            history.add("host", "holds", host=host.ident, number=len(host.held))
+        for rule, cases in world.report.cases.items():
+            history.add("host", "broken", word=rule, text="; ".join(cases))
+        history.flush()
+        for host in made:
+            await host.close()
+
+
+if __name__ == "__main__":
+    asyncio.run(serve(int(sys.argv[1]), int(sys.argv[2]), int(sys.argv[3]), Path(sys.argv[4])))
--- /dev/null
+++ b/tansyladder/lab/chaos/schedule.py
@@ -0,0 +1,80 @@
+"""Faults by time, drawn from a seed, written to a file and played again from it."""
+
+from __future__ import annotations
+
+from enum import Enum
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+import numpy
+
+APART = (1.2, 2.5)  # seconds between the starts of two faults
+LENGTH = (0.4, 3.0)  # seconds that one lasts
+DELAYS = (0.02, 0.4)  # seconds
+
+
+class Kind(Enum):
+    """What happens to a node, or to the links of one."""
+
+    KILL = "kill"  # SIGKILL; it is started again when the fault ends
+    STOP = "stop"  # SIGSTOP, and SIGCONT when it ends
+    CUT_HOSTS = "cut_hosts"  # nothing passes between the node and the hosts
+    CUT_UP = "cut_up"  # nothing passes from the node to the hosts
+    CUT_DOWN = "cut_down"  # nothing passes from the hosts to the node
+    CUT_CLIENTS = "cut_clients"  # nothing passes between clients and the node
+    RESET = "reset"  # all connections of the node's clients break
+    DELAY = "delay"  # each way between the node and the hosts takes longer
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """One fault: `at` and `length` in seconds from the start of the schedule."""
+
+    at: Annotated[float, msgspec.Meta(ge=0)]
+    kind: Kind
+    node: Annotated[int, msgspec.Meta(ge=0)]
+    length: Annotated[float, msgspec.Meta(ge=0)]
+    value: float = 0.0  # seconds of delay
+
+
+class Schedule(msgspec.Struct, frozen=True):
+    """A run's faults in the order of their starts, and all that it takes to play it again."""
+
+    seed: int
+    nodes: Annotated[int, msgspec.Meta(ge=1)]
+    hosts: Annotated[int, msgspec.Meta(ge=1)]
+    sessions: Annotated[int, msgspec.Meta(ge=1)]
+    faults: tuple[Fault, ...]
+
+
+def draw(seed: int, nodes: int, hosts: int, sessions: int, seconds: float) -> Schedule:
+    """Faults for so many seconds; a node has one at a time, and a minority of the nodes is down at once."""
+    rng = numpy.random.default_rng(seed)
+    faults: list[Fault] = []
+    kinds = list(Kind)
+    at = 0.5
+    while at < seconds:
+        kind = kinds[rng.integers(len(kinds))]
+        length = round(float(rng.uniform(*LENGTH)), 3)
+        busy = {f.node for f in faults if f.at + f.length + 0.5 > at}
+        free = [n for n in range(nodes) if n not in busy]
+        if len(busy) < max(1, (nodes - 1) // 2) and free:
+            node = free[rng.integers(len(free))]
+            value = round(float(rng.uniform(*DELAYS)), 3) if kind is Kind.DELAY else 0.0
+            faults.append(Fault(round(at, 3), kind, node, length, value))
+        at += float(rng.uniform(*APART))
+    return Schedule(seed, nodes, hosts, sessions, tuple(faults))
+
+
+def load(path: Path) -> Schedule:
+    """A schedule from its file; ValueError names what is wrong with it."""
+    told = msgspec.json.decode(path.read_bytes(), type=Schedule)
+    for number, fault in enumerate(told.faults):
+        if fault.node >= told.nodes:
+            raise ValueError(f"faults.{number}.node: there are {told.nodes} nodes, from 0")
+    return told
+
+
+def save(path: Path, schedule: Schedule) -> None:
+    """Write it, so that `load` gives the same."""
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(schedule), indent=1) + b"\n")
--- a/tansyladder/lab/clients.py
+++ b/tansyladder/lab/clients.py
@@ -13,6 +13,7 @@
 SAY = 1.0  # seconds between two of its lines
 ACK_LINES = 8
 ANSWER = 5.0  # seconds beyond `d` until an answer counts as missing
+PATIENCE = 0.7  # the same for one that gives up on a silent node and comes again
 TRIES = 8  # in a row, until it gives up
 
 
@@ -20,9 +21,11 @@
     """One viewer; `resumes` says whether it offers to go on after a break."""
 
     def __init__(
-        self, report: Report, port: int, number: int, seed: int, resumes: bool, say: float = SAY
-    ) -> None:
-        """`say`: seconds between two of its lines."""
+        self, report: Report, port: int, number: int, seed: int, resumes: bool, say: float = SAY,
+        silence: float | None = None,
+    ) -> None:  # fmt: skip
+        """`say`: seconds between two of its lines; `silence`: after which its connection counts as dead."""
+        self._silence, self._answer = silence, ANSWER if silence is None else PATIENCE
         self.report, self.port, self.number, self.resumes = report, port, number, resumes
         self.say = say
         self.rng = random.Random(seed * 1_000_003 + number)
@@ -40,6 +43,9 @@
         self.quiet = False  # from now on it says nothing
         self._ending = False
 
+    def saw(self, what: str, **fields: object) -> None:
+        """For whoever keeps a history of what this client did and met."""
+
     def watch(self) -> None:
         """Measure gaps, and whether its connection stays, from now on."""
         self.gap, self.stood = timedelta(0), self.connections
@@ -105,9 +111,14 @@
         asked = clock()
         saying: asyncio.Task[None] | None = None
         try:
-            writer.write(f"OPEN {self.rng.getrandbits(60):x} {self.key} {names}\r\n".encode())
-            answer = await asyncio.wait_for(reader.readline(), self.wait / 1000 + ANSWER)
+            ident = f"{self.rng.getrandbits(60):x}"
+            writer.write(f"OPEN {ident} {self.key} {names}\r\n".encode())
+            self.saw("asked", ident=ident, token=self.used if back else "")
+            answer = await asyncio.wait_for(reader.readline(), self.wait / 1000 + self._answer)
             word = answer.split(b" ")[0].strip().decode()
+            self.saw("answered", ident=ident, word=word, text=answer.decode().strip())
+            if word in ("BUSY", ""):
+                self._token_back(back)
             self.report.counts[f"answer_{word or 'none'}"] += 1
             if word not in ("UP", "BUSY", "ERR") and not self._ending:
                 self.report.broken("final_answers_wrong", f"{answer[:60]!r} on connection {self.connections}")
@@ -123,27 +134,38 @@
             saying = asyncio.ensure_future(self._say(writer))
             await self._listen(reader, writer)
             return True
-        except (OSError, ValueError, asyncio.IncompleteReadError):
-            return saying is not None
-        except TimeoutError:
+        except TimeoutError:  # an OSError too, so it comes first
+            if saying is not None:
+                return True  # its node or the way to it is silent
+            self._token_back(back)
             self.report.broken("final_answers_wrong", f"no answer on connection {self.connections}")
             return False
+        except (OSError, ValueError, asyncio.IncompleteReadError):
+            if saying is None:
+                self._token_back(back)
+            return saying is not None
         finally:
             if saying is not None:
                 saying.cancel()
             self.up.clear()
             writer.close()
 
+    def _token_back(self, back: bool) -> None:
+        """Refused for now, or no answer came: the token may be good still."""
+        if back:
+            self.token = self.used
+
     async def _say(self, writer: asyncio.StreamWriter) -> None:
         await asyncio.sleep(self.rng.random() * self.say)
         while not writer.transport.is_closing() and not self.quiet:
             self._said += 1
             self._unheard.append(self._said)
+            self.saw("said", session=self.sessions, number=self._said)
             writer.write(f"M {self._said}\r\n".encode())
             await asyncio.sleep(self.say)
 
     async def _listen(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        while line := await reader.readline():
+        while line := await asyncio.wait_for(reader.readline(), self._silence):
             words = line.decode().split()
             if words[0] == "RS":
                 self._control(words, writer)
@@ -173,6 +195,7 @@
 
     def _frame(self, number: int, heard: int, writer: asyncio.StreamWriter) -> None:
         moment = clock()
+        self.saw("heard", session=self.sessions, number=number, of_own=heard)
         if self.last is not None:
             self.gap = max(self.gap, moment - self.last)
         self.last = moment
--- a/tansyladder/lab/commands.py
+++ b/tansyladder/lab/commands.py
@@ -6,11 +6,13 @@
 import json
 import signal
 import sys
+from collections import Counter
 from collections.abc import Coroutine
 from pathlib import Path
 from typing import Any
 
 import click
+import msgspec
 
 from tansyladder.lab import comeback, cost, drain, restart
 from tansyladder.lab.hosts import Host
@@ -107,6 +109,59 @@
     _play(restart.restart(sessions, hosts, seed, store == "on"), as_json)
 
 
+@click.command("takeover")
+@click.option("--nodes", default=5, show_default=True, type=click.IntRange(3, 9))
+@click.option("--hosts", default=4, show_default=True, type=click.IntRange(1, 20))
+@click.option("--sessions", default=300, show_default=True, type=click.IntRange(1, 3000))
+@click.option("--seed", default=1, show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="one JSON object")
+def takeover_command(nodes: int, hosts: int, sessions: int, seed: int, as_json: bool) -> None:
+    """Kill one node of a fleet, stop another for 5 s, and see which sessions go on at the others."""
+    from tansyladder.lab.chaos import play
+
+    result = asyncio.run(play.takeover(nodes, hosts, sessions, seed))
+    _show(result, as_json)
+    sys.exit(1 if result["cases"] else 0)
+
+
+@click.command("chaos")
+@click.option("--nodes", default=5, show_default=True, type=click.IntRange(3, 9))
+@click.option("--hosts", default=4, show_default=True, type=click.IntRange(1, 20))
+@click.option("--sessions", default=60, show_default=True, type=click.IntRange(1, 3000))
+@click.option("--seconds", default=12.0, show_default=True, type=click.FloatRange(1, 600))
+@click.option("--seed", default=1, show_default=True, help="of the first schedule; more runs count on")
+@click.option("--runs", default=1, show_default=True, type=click.IntRange(1, 10_000))
+@click.option("--schedule", "played", type=click.Path(path_type=Path, exists=True, dir_okay=False),
+              help="play this file's schedule")  # fmt: skip
+@click.option("--keep", type=click.Path(path_type=Path, file_okay=False), help="histories and schedules")
+@click.option("--json", "as_json", is_flag=True, help="one JSON object")
+def chaos_command(
+    nodes: int, hosts: int, sessions: int, seconds: float, seed: int, runs: int, played: Path | None,
+    keep: Path | None, as_json: bool,
+) -> None:  # fmt: skip
+    """Play seeded faults between several nodes, hosts and clients, and check what they saw."""
+    from tansyladder.lab.chaos import play, schedule
+
+    found: dict[str, Any] = {"histories": 0, "faults": 0, "sessions": 0}
+    found |= {"violations": Counter(), "first": None}
+    plans = [schedule.load(played)] if played else []
+    plans = plans or [schedule.draw(seed + i, nodes, hosts, sessions, seconds) for i in range(runs)]
+    for plan in plans:
+        if keep is not None:
+            keep.mkdir(parents=True, exist_ok=True)
+            schedule.save(keep / f"schedule-{plan.seed}.json", plan)
+        result = asyncio.run(play.chaos(plan, keep / f"history-{plan.seed}.jsonl" if keep else None))
+        found["histories"] += 1
+        found["faults"] += result["faults"]
+        found["sessions"] += result["sessions"]
+        found["violations"].update({k: v for k, v in result["violations"].items() if v})
+        if result["cases"] and found["first"] is None:
+            found["first"] = {"seed": plan.seed, "cases": result["cases"], "refused": result["refused"],
+                              "schedule": msgspec.to_builtins(plan.faults)}  # fmt: skip
+    _show(found, as_json)
+    sys.exit(1 if found["first"] else 0)
+
+
 @click.command("fleet")
 @click.argument("folder", type=click.Path(path_type=Path, exists=True, file_okay=False))
 @click.option("--members", is_flag=True, help="connections/attempts/failures by member, not what nodes did")
@@ -172,6 +227,8 @@
         restart_command,
         up_command,
         fleet_command,
+        takeover_command,
+        chaos_command,
         store_faults_command,
         store_kill_command,
         store_bench_command,
--- a/tansyladder/lab/hosts.py
+++ b/tansyladder/lab/hosts.py
@@ -12,6 +12,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 from datetime import timedelta
+from functools import partial
 
 from tansyladder.lab.report import Report, clock
 
@@ -59,6 +60,8 @@
     writer: asyncio.StreamWriter
     resumes: bool
     acked: int = 0
+    door: int = 0  # of the host's listeners, the one that it came through
+    session: str = ""
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
 
     def say(self, line: str) -> None:
@@ -94,6 +97,9 @@
         if self.open.get(ident, set()) & earlier:
             self.report.broken("second_attempts", ident)
 
+    def saw(self, what: str, held: Held, number: int = 0) -> None:
+        """For whoever keeps a history: a session was taken, fenced off, or a line of its client heard."""
+
     def over(self, held: Held) -> None:
         self.open.get(held.ident, set()).discard(held)
 
@@ -112,14 +118,20 @@
         self.told: timedelta | None = None  # when discovery wrote that it drains or is gone
         self.seen: Counter[str] = Counter()
         self.address = ""
-        self._server: asyncio.Server | None = None
+        self.doors: list[str] = []  # the addresses of all its listeners
+        self._servers: list[asyncio.Server] = []
         self._cores = asyncio.Semaphore(2)
 
-    async def start(self) -> None:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0, backlog=1024, limit=8192)
-        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+    async def start(self, doors: int = 1) -> None:
+        """`doors`: listeners, so that it shows which way a connection came."""
+        for door in range(doors):
+            serve = partial(self._serve, door)
+            server = await asyncio.start_server(serve, "127.0.0.1", 0, backlog=1024, limit=8192)
+            self._servers.append(server)
+            self.doors.append(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        self.address = self.doors[0]
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _serve(self, door: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         held: Held | None = None
         try:
             while (line := await reader.readline()) == b"PING\r\n":
@@ -127,7 +139,7 @@
                     await asyncio.sleep(PROBE * (8 if self.behaviour == "slow" else 1))
                     writer.write(b"PONG\r\n")
             if line.endswith(b"\r\n"):
-                held = await self._open(line.decode().split(), writer)
+                held = await self._open(door, line.decode().split(), writer)
             if held is not None:
                 await self._listen(held, reader)
         except (OSError, ValueError, asyncio.IncompleteReadError, asyncio.CancelledError):
@@ -137,13 +149,13 @@
                 self._let_go(held)
             writer.close()
 
-    async def _open(self, words: list[str], writer: asyncio.StreamWriter) -> Held | None:
+    async def _open(self, door: int, words: list[str], writer: asyncio.StreamWriter) -> Held | None:
         if len(words) != 4 or words[0] != "OPEN":
             self.world.report.broken("bad_first_lines", " ".join(words)[:80])
             writer.write(b"SYNTAX\r\n")
             return None
         told = dict(pair.split("=", 1) for pair in words[3].split(","))
-        held = Held(self, words[1], Kept(), 0, writer, False)
+        held = Held(self, words[1], Kept(), 0, writer, False, door=door)
         self.world.attempt(held)
         try:
             if self.told is not None and clock() - self.told > GRACE:
@@ -167,12 +179,14 @@
         async with self._cores:
             await asyncio.sleep(self.work * (8 if self.behaviour == "slow" else 1))
         if "rsn" in told and self.behaviour != "old":
-            kept = self.world.store.take(told["rsn"], int(told["re"]))
+            held.session, held.epoch = told["rsn"], int(told["re"])
+            kept = self.world.store.take(held.session, held.epoch)
+            self.world.saw("fenced" if kept is None else "taken", held)
             if kept is None or not int(told["ra"]) <= kept.heard <= int(told["ri"]):
                 held.say("BUSY")
                 return None
             kept.said = int(told["ro"])  # what a lost host said beyond it never arrived
-            held.kept, held.epoch, held.resumes, held.acked = kept, kept.epoch, True, kept.heard
+            held.kept, held.resumes, held.acked = kept, True, kept.heard
             held.say(f"UP {self.ident}-{held.ident}\r\nRS AT {kept.heard} {kept.said}")
         else:
             held.say(f"UP {self.ident}-{held.ident}")
@@ -202,8 +216,10 @@
                 continue
             if held.kept.epoch != held.epoch:
                 self.world.store.fenced += 1
+                self.world.saw("fenced", held)
                 return
             number = int(words[1])
+            self.world.saw("heard", held, number)
             if number > held.kept.heard + 1:
                 self.world.report.broken("lines_lost", f"client line {number} after {held.kept.heard}")
             elif number <= held.kept.heard:
@@ -234,9 +250,8 @@
         await self.close()
 
     async def close(self) -> None:
-        if self._server is not None:
-            self._server.close()
-            self._server = None
+        while self._servers:
+            self._servers.pop().close()
         for held in list(self.held):
             held.writer.transport.abort()
         with contextlib.suppress(asyncio.TimeoutError):
--- a/tansyladder/lab/node.py
+++ b/tansyladder/lab/node.py
@@ -43,16 +43,24 @@
 class LabNode:
     """One node's process; its configuration and log are in a folder of the run."""
 
-    def __init__(self, folder: Path, discovery: str, known: dict[str, Any], settings: str = "") -> None:
-        """`known`: the list it starts with; `settings`: the operator's own, empty for none."""
+    def __init__(
+        self,
+        folder: Path,
+        discovery: str,
+        known: dict[str, Any],
+        settings: str = "",
+        name: str = "lab",
+        nodes: int = 1,
+    ) -> None:
+        """`known`: the list it starts with; `settings`: the operator's, empty for none; `nodes`: in all."""
         self.folder, self._settings = folder, folder / "settings.sexp" if settings else None
         with socket.create_server(("127.0.0.1", 0)) as spare, socket.create_server(("127.0.0.1", 0)) as other:
             self.port, self.operator = spare.getsockname()[1], other.getsockname()[1]
         whole = {
-            "name": "lab", "listen": f"127.0.0.1:{self.port}",
+            "name": name, "listen": f"127.0.0.1:{self.port}",
             "operator": f"127.0.0.1:{self.operator}", "discovery": discovery, "seed": "1ab",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 8192}, "known": known,
-            "settings": MODULE_SETTINGS,
+            "settings": MODULE_SETTINGS | {"balancers": nodes},
         }  # fmt: skip
         self.config = folder / "config.json"
         self.config.write_text(json.dumps(whole, indent=1))
@@ -90,6 +98,11 @@
         self._run.kill()
         await self._run.wait()
 
+    def signal(self, number: int) -> None:
+        """A signal to this process alone, as SIGSTOP and SIGCONT."""
+        assert self._run is not None
+        self._run.send_signal(number)
+
     async def stop(self) -> int:
         """SIGTERM, and its exit code; a kill where that does not end it in time."""
         if self._run is None:
--- a/tansyladder/lab/roster.py
+++ b/tansyladder/lab/roster.py
@@ -3,14 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+from datetime import timedelta
+from typing import Protocol
 from urllib.parse import parse_qs, urlsplit
 
 import msgspec
 
-from tansyladder.lab.hosts import Host
 from tansyladder.lab.report import clock
 
 
+class Listed(Protocol):
+    """A host as it stands in the list; `told` is set when discovery first writes that it leaves."""
+
+    ident: str
+    address: str
+    told: timedelta | None
+
+
 class Roster:
     """The list of stand-in hosts; each change is told to all who watch."""
 
@@ -18,7 +27,7 @@
         self.address = ""
         self.revision = 0
         self._phases: dict[str, str] = {}
-        self._hosts: dict[str, Host] = {}
+        self._hosts: dict[str, Listed] = {}
         self._changed: dict[str, int] = {}  # the revision of each one's last change
         self._news = asyncio.Condition()
         self._server: asyncio.Server | None = None
@@ -31,7 +40,7 @@
         if self._server is not None:
             self._server.close()
 
-    async def tell(self, phase: str, *hosts: Host) -> None:
+    async def tell(self, phase: str, *hosts: Listed) -> None:
         """Set hosts' phase (up, draining, removed) in one revision."""
         async with self._news:
             self.revision += 1
