Agree on the owners of sessions in a replicated log, played on a simulated network

Need: a session lives and dies with its node. So that another may take it over, once, nodes have to agree on its owner without a place that all of them write to. The caller syncs what it is told to write before any message leaves. A disk has a name: a voter on another disk than the fleet knows it by has forgotten its votes, gets the log as a learner does, and counts again only once an entry committed without it admits the disk. claims.py is the state: a claim makes a node the owner of the next tenure of a session, a confirmation before UP spends the tokens issued before; of two claims with one token the later one is confirmed and the other is not. Times stand in the entries. tansyladder/sim plays it: loss, copies, reordering, cuts, crashes, lost disks, from one seed, to the byte.

Nothing uses it yet; run is as it was.

--- /dev/null
+++ b/tansyladder/peers/claims.py
@@ -0,0 +1,114 @@
+"""What the log decides: which node owns a session that was taken over, and which of its tokens are spent.
+
+A session's *tenure* counts its owners: the first one has tenure 1, and both the epochs that hosts see and the
+generations of tokens begin with it. A claim makes its node the owner of the next tenure; the node then places
+the session at a host, and before it answers the client a confirmation spends the tokens issued before. Of two
+nodes that claim with one token the later claim counts, and only its confirmation goes through: one UP.
+
+All times stand in the entries, so all replicas forget the same records at the same entry.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+import msgspec
+
+TENURE_BITS = 32  # of a token's generation that count within a tenure
+MOST = 16_384  # records; a claim that finds no room is refused
+
+
+class Claim(msgspec.Struct, frozen=True, array_like=True, tag="claim"):
+    """A node was shown a token and wants its session. Times in microseconds of Unix time."""
+
+    session: int
+    generation: int
+    expiry: int  # of the token
+    by: str  # the node and its start
+    at: int
+    keep: int  # until when tokens issued by now may be out
+
+
+class Confirm(msgspec.Struct, frozen=True, array_like=True, tag="confirm"):
+    """The owner is about to answer UP: tokens under the floor are spent."""
+
+    session: int
+    tenure: int
+    floor: int
+    expiry: int  # of the token that was shown
+    by: str
+    at: int
+    keep: int
+
+
+class Ruling(msgspec.Struct, frozen=True, array_like=True):
+    """The tenure that is the node's, or the word (`spent`, `expired`, `claimed`, `full`) why not."""
+
+    tenure: int = 0
+    why: str = ""
+
+
+class Record(msgspec.Struct, array_like=True):
+    """What is known of a session that has been claimed or confirmed."""
+
+    tenure: int
+    owner: str
+    floor: int  # tokens of lower generations are spent
+    keep: int
+
+
+class Claims:
+    """The state machine; records stand in the order in which they are forgotten."""
+
+    def __init__(self) -> None:
+        self.records: OrderedDict[int, Record] = OrderedDict()
+        self._latest = 0  # the latest time that any entry told
+
+    def apply(self, data: bytes) -> bytes:
+        """Take in an encoded Claim or Confirm; an encoded Ruling."""
+        told = msgspec.msgpack.decode(data, type=Claim | Confirm)
+        # One node's clock may be behind: what was forgotten by an earlier entry stays forgotten.
+        self._latest = max(self._latest, told.at)
+        while self.records and next(iter(self.records.values())).keep <= self._latest:
+            self.records.popitem(last=False)
+        ruling = self._claim(told) if isinstance(told, Claim) else self._confirm(told)
+        return msgspec.msgpack.encode(ruling)
+
+    def _claim(self, told: Claim) -> Ruling:
+        known = self.records.get(told.session)
+        if known is not None and told.generation < known.floor:
+            return Ruling(why="spent")
+        if told.expiry <= self._latest:
+            return Ruling(why="expired")
+        if known is None and len(self.records) >= MOST:
+            return Ruling(why="full")
+        tenure = max(known.tenure if known else 0, told.generation >> TENURE_BITS) + 1
+        self._put(told.session, Record(tenure, told.by, known.floor if known else 0, told.keep))
+        return Ruling(tenure)
+
+    def _confirm(self, told: Confirm) -> Ruling:
+        known = self.records.get(told.session)
+        if told.expiry <= self._latest:  # what was known of it may be forgotten: who replaced this owner, too
+            return Ruling(why="expired")
+        if known is None and len(self.records) >= MOST:
+            return Ruling(why="full")
+        # Unknown: its owner since it began, or since a claim so old that its tokens have expired.
+        if known is not None and (known.tenure, known.owner) != (told.tenure, told.by):
+            return Ruling(why="claimed")
+        floor = max(known.floor if known else 0, told.floor)
+        self._put(told.session, Record(told.tenure, told.by, floor, told.keep))
+        return Ruling(told.tenure)
+
+    def _put(self, session: int, record: Record) -> None:
+        """Records keep the order of their ends; one that is to end sooner than the last one lasts as long."""
+        if self.records:
+            record.keep = max(record.keep, next(reversed(self.records.values())).keep)
+        self.records.pop(session, None)
+        self.records[session] = record
+
+    def dump(self) -> bytes:
+        return msgspec.msgpack.encode((self._latest, list(self.records.items())))
+
+    def load(self, dumped: bytes) -> None:
+        self._latest, items = msgspec.msgpack.decode(dumped, type=tuple[int, list[tuple[int, Record]]])
+        self.records = OrderedDict(items)
--- /dev/null
+++ b/tansyladder/sim/agreement.py
@@ -0,0 +1,304 @@
+"""Agreements over a network that delays, drops, doubles, reorders and cuts, with crashes and lost disks.
+
+One event loop on a virtual clock; the same seed gives the same history to the byte. Checked at each step:
+one leader in a term, committed entries that never change, the same state from the same entries. At the end,
+faults over: every proposal that was answered is in every log, and a new one goes through in time.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+from random import Random
+
+import numpy
+
+from tansyladder.peers.agreement import Agreement, Out, Role
+from tansyladder.peers.messages import Entry, Hard, Kept, Kind, Message, Propose, Snapshot, Tail, Write
+
+MS, S = 1000, 1_000_000
+LIVE = 10 * S  # after the last fault by when a proposal must go through
+
+
+class Broken(Exception):
+    """A promise was broken; the message says which, with the moment."""
+
+
+class Disk:
+    """What is synced, and what was written since; a crash takes the latter back."""
+
+    def __init__(self, ident: str) -> None:
+        self.kept = Kept(Hard(ident=ident))
+
+    def write(self, writes: list[Write]) -> None:
+        """Synced when it returns."""
+        for write in writes:
+            kept = self.kept
+            match write:
+                case Hard():
+                    self.kept = Kept(write, kept.snapshot, kept.entries)
+                case Snapshot():
+                    rest = kept.entries[max(0, write.index - kept.snapshot.index) :]
+                    self.kept = Kept(kept.hard, write, rest)
+                case Tail():
+                    before = kept.entries[: write.index - kept.snapshot.index - 1]
+                    self.kept = Kept(kept.hard, kept.snapshot, (*before, *write.entries))
+
+
+class Sums:
+    """A state that shows any difference of order: the list of what came."""
+
+    def __init__(self) -> None:
+        self.came: list[bytes] = []
+
+    def apply(self, data: bytes) -> bytes:
+        self.came.append(data)
+        return str(len(self.came)).encode()
+
+    def dump(self) -> bytes:
+        return b",".join(self.came)
+
+    def load(self, dumped: bytes) -> None:
+        self.came = dumped.split(b",") if dumped else []
+
+
+@dataclass
+class Faults:
+    """How bad the network and the nodes are."""
+
+    loss: float = 0.05
+    doubled: float = 0.05
+    delay: tuple[int, int] = (1 * MS, 40 * MS)
+    crash_every: int = 3 * S  # on the mean, of all nodes together; 0: never
+    down: tuple[int, int] = (200 * MS, 3 * S)
+    wiped: float = 0.2  # of the crashes that take the disk with them
+    cut_every: int = 3 * S
+    cut: tuple[int, int] = (300 * MS, 4 * S)
+
+
+@dataclass
+class Node:
+    """One simulated node."""
+
+    name: str
+    disk: Disk
+    core: Agreement | None = None  # none while it is down
+    sums: Sums = field(default_factory=Sums)
+    start: int = 0  # counts starts, so that messages to an earlier one are lost
+    waits: int = 0  # counts wake-ups, so that only the newest is one
+
+
+class World:
+    """A fleet, its network and its checkers."""
+
+    def __init__(
+        self, seed: int, voters: int = 3, learners: int = 1, faults: Faults | None = None,
+        make: Callable[..., Agreement] = Agreement, synced: bool = True,
+    ) -> None:  # fmt: skip
+        """`make`: the core, or one with a guard taken out; `synced`: whether writes outlive crashes."""
+        parts = numpy.random.SeedSequence(seed).spawn(4)
+        self._net, self._fate, self._load, seeds = (numpy.random.default_rng(part) for part in parts)
+        self.now, self.faults, self._make, self._synced = 0, faults or Faults(), make, synced
+        self.names = [f"n{i}" for i in range(voters + learners)]
+        self.voters, self.learners = self.names[:voters], self.names[voters:]
+        self._seeds = seeds
+        self._disks = itertools.count(1)
+        self.nodes = {name: Node(name, self._new_disk()) for name in self.names}
+        self._queue: list[tuple[int, int, Callable[[], object]]] = []
+        self._order = itertools.count()
+        self._cuts: set[tuple[str, str]] = set()  # ways on which nothing arrives
+        self.leaders: dict[int, str] = {}  # by term
+        self.committed: list[Entry] = []  # as first seen
+        self.answered: dict[str, bytes] = {}  # requests that were answered with a result
+        self._open: dict[str, str] = {}
+        self._asked = itertools.count(1)
+        self.counts = {"crashes": 0, "wiped": 0, "cuts": 0, "asked": 0, "unknown": 0, "messages": 0}
+        for name in self.names:
+            self._up(name)
+
+    def _new_disk(self) -> Disk:
+        return Disk(f"d{next(self._disks)}")
+
+    # --- time
+
+    def at(self, moment: int, call: Callable[[], object]) -> None:
+        heapq.heappush(self._queue, (max(moment, self.now), next(self._order), call))
+
+    def run(self, until: int) -> None:
+        """Play all that is due by a moment. Broken: a promise did not hold."""
+        while self._queue and self._queue[0][0] <= until:
+            self.now, _, call = heapq.heappop(self._queue)
+            call()
+        self.now = until
+
+    # --- nodes
+
+    def _up(self, name: str) -> None:
+        node = self.nodes[name]
+        node.start, node.sums = node.start + 1, Sums()
+        rng = Random(int(self._seeds.integers(1 << 60)))
+        node.core = self._make(name, self.voters, self.learners, node.disk.kept, node.sums, rng, self.now)
+        self._step(node)
+
+    def crash(self, name: str, wipe: bool) -> None:
+        """It is gone, with its disk or without."""
+        node = self.nodes[name]
+        node.core = None
+        self.counts["crashes"] += 1
+        if wipe:
+            self.counts["wiped"] += 1
+            node.disk = self._new_disk()
+
+    def _step(self, node: Node, *received: tuple[str, Message]) -> None:
+        core = node.core
+        if core is None:
+            return
+        before = core.commit
+        out = core.handle(self.now, received)
+        if self._synced:
+            node.disk.write(out.writes)
+        else:  # terms and votes are on their way still: what a crash takes where syncs are not waited for
+            founders = node.disk.kept.hard.founders
+            node.disk.write([w for w in out.writes if not isinstance(w, Hard) or w.founders != founders])
+        self._check(node, before)
+        self._carry(node, out)
+        node.waits += 1
+        self.at(core.due, partial(self._wake, node, node.waits, node.start))
+
+    def _wake(self, node: Node, wait: int, start: int) -> None:
+        if (node.waits, node.start) == (wait, start):
+            self._step(node)
+
+    def _carry(self, node: Node, out: Out) -> None:
+        for to, message in out.messages:
+            self.counts["messages"] += 1
+            copies = 1 + (self._net.random() < self.faults.doubled)
+            for _ in range(copies):
+                if self._net.random() >= self.faults.loss:
+                    delay = int(self._net.integers(*self.faults.delay))
+                    self.at(self.now + delay, partial(self._arrive, node.name, to, message))
+        for answer in out.answers:
+            self._open.pop(answer.request, None)
+            if answer.result is None:
+                self.counts["unknown"] += 1
+            else:
+                self.answered[answer.request] = answer.result
+
+    def _arrive(self, sender: str, to: str, message: Message) -> None:
+        if (sender, to) not in self._cuts:
+            self._step(self.nodes[to], (sender, message))
+
+    def propose(self, name: str) -> str:
+        """One more proposal at a node."""
+        request = f"r{next(self._asked)}"
+        self.counts["asked"] += 1
+        self._open[request] = name
+        self._step(self.nodes[name], (name, Propose(request, request.encode())))
+        return request
+
+    # --- checkers
+
+    def _check(self, node: Node, before: int) -> None:
+        core = node.core
+        assert core is not None
+        if core.role is Role.LEADER and self.leaders.setdefault(core.term, node.name) != node.name:
+            raise Broken(f"{self.now}: two leaders in term {core.term}")
+        for index in range(before + 1, core.commit + 1):
+            if index <= len(self.committed):
+                try:
+                    entry = core.entry(index) if index > core.snapshot_index else None
+                except IndexError:
+                    entry = None
+                if entry is not None and entry != self.committed[index - 1]:
+                    first = self.committed[index - 1]
+                    raise Broken(f"{self.now}: {node.name} commits {entry} at {index}, not {first}")
+            else:
+                self.committed.append(core.entry(index))
+        came = [e.data for e in self.committed[: core.applied] if e.kind is Kind.DATA]
+        if node.sums.came != came:
+            raise Broken(f"{self.now}: {node.name} has another state at {core.applied}")
+
+    def finish(self) -> None:
+        """Faults over, all up. Broken: an answered proposal is gone, or none goes through in time."""
+        self._cuts.clear()
+        self.faults = Faults(0.0, 0.0, crash_every=0, cut_every=0)
+        for name in self.names:
+            if self.nodes[name].core is None:
+                self._up(name)
+        end = self.now + LIVE
+        while self.now < end:
+            asked = [self.propose(name) for name in self.names]
+            self.run(self.now + S)
+            if all(request in self.answered for request in asked):
+                break
+        else:
+            raise Broken(f"{self.now}: no proposal goes through at all nodes")
+        self.run(self.now + 2 * S)
+        logged = {e.request for e in self.committed}
+        for request in self.answered:
+            if request not in logged:
+                raise Broken(f"{self.now}: {request} was answered and is in no log")
+        for node in self.nodes.values():
+            if node.core is not None and node.core.commit != len(self.committed):
+                raise Broken(f"{self.now}: {node.name} is at {node.core.commit} of {len(self.committed)}")
+
+    # --- fate
+
+    def storm(self, seconds: float, load: int = 50 * MS) -> None:
+        """Faults and proposals for so long. A majority of the voters keeps its disks between two wipes."""
+        end = self.now + int(seconds * S)
+        self._plan(self.faults.crash_every, end, self._random_crash)
+        self._plan(self.faults.cut_every, end, self._random_cut)
+        self._plan(load, end, lambda: self.propose(self.names[self._load.integers(len(self.names))]))
+        self.run(end)
+
+    def _plan(self, every: int, end: int, call: Callable[[], object]) -> None:
+        if not every:
+            return
+        moment = self.now
+        while (moment := moment + int(self._fate.exponential(every)) + 1) < end:
+            self.at(moment, call)
+
+    def _random_crash(self) -> None:
+        name = self.names[self._fate.integers(len(self.names))]
+        if self.nodes[name].core is None:
+            return
+        # A disk may go while all other voters are up on disks that count; more at once is a majority lost.
+        others = [self.nodes[v].core for v in self.voters if v != name]
+        spared = bool(others) and all(core is not None and core.voting for core in others)
+        wipe = self._fate.random() < self.faults.wiped and spared
+        self.crash(name, bool(wipe))
+        self.at(self.now + int(self._fate.integers(*self.faults.down)), lambda: self._back(name))
+
+    def _back(self, name: str) -> None:
+        if self.nodes[name].core is None:
+            self._up(name)
+
+    def _random_cut(self) -> None:
+        """A node from all others, one pair, or one way of a pair."""
+        self.counts["cuts"] += 1
+        one, other = self._fate.choice(self.names, 2, replace=False)
+        kind = self._fate.integers(3)
+        ways = {(one, other)}
+        if kind == 1:
+            ways |= {(other, one)}
+        elif kind == 2:
+            ways = {way for name in self.names if name != one for way in ((one, name), (name, one))}
+        ways = {(str(a), str(b)) for a, b in ways}
+        self._cuts |= ways
+        end = self.now + int(self._fate.integers(*self.faults.cut))
+        self.at(end, lambda: self._cuts.difference_update(ways))
+
+
+def play(
+    seed: int, voters: int = 3, learners: int = 1, seconds: float = 20.0, faults: Faults | None = None,
+    make: Callable[..., Agreement] = Agreement, synced: bool = True,
+) -> World:  # fmt: skip
+    """One history, checked to its end. Broken: a promise did not hold."""
+    world = World(seed, voters, learners, faults, make, synced)
+    world.storm(seconds)
+    world.finish()
+    return world
--- /dev/null
+++ b/tansyladder/sim/guards.py
@@ -0,0 +1,106 @@
+"""Agreements with one guard taken out, to show that the checkers find what each guard is for."""
+
+from __future__ import annotations
+
+import msgspec
+
+from tansyladder.peers.agreement import Agreement
+from tansyladder.peers.messages import Append, Appended, Ask, Decided, Mark, Propose
+
+
+class VotesForAnyLog(Agreement):
+    """Without the election restriction."""
+
+    def _asked(self, sender: str, ask: Ask) -> None:
+        super()._asked(sender, Ask(ask.term, 1 << 60, 1 << 60, ask.trial, ask.committed))
+
+
+class VotesTwice(Agreement):
+    """Without the one vote in a term."""
+
+    def _asked(self, sender: str, ask: Ask) -> None:
+        if not ask.trial:
+            self._hard = msgspec.structs.replace(self._hard, vote="")
+        super()._asked(sender, ask)
+
+
+class VotesAfterForgetting(Agreement):
+    """Without the names of disks: a voter that lost its disk votes and counts on."""
+
+    @property
+    def voting(self) -> bool:
+        return self.me in self._voters
+
+    def _majority(self, names: set[str]) -> bool:
+        return len({*names, self.me}.intersection(self._voters)) * 2 > len(self._voters)
+
+
+class CommitsOldTerms(Agreement):
+    """Without the rule that only entries of the leader's own term are counted."""
+
+    def _advance(self) -> None:
+        for index in range(self.last, self.commit, -1):
+            if self._held(index):
+                self._commit_to(index)
+                return
+
+
+class AppendsAnywhere(Agreement):
+    """Without the look whether the entry before fits."""
+
+    def _append(self, sender: str, told: Append) -> None:
+        if self.snapshot_index <= told.before <= self.last:
+            told = msgspec.structs.replace(told, before_term=self._term_at(told.before))
+        super()._append(sender, told)
+
+
+class AnswersEarly(Agreement):
+    """Without the wait for the entry to be committed."""
+
+    def _propose(self, sender: str, told: Propose) -> None:
+        super()._propose(sender, told)
+        if self._proposers.pop(self.last, None):
+            self._decided(sender, Decided(told.request, b"done"))
+
+
+class TakesAnyTerm(Agreement):
+    """Without the look at the term of who says that it leads."""
+
+    def _append(self, sender: str, told: Append) -> None:
+        if told.term < self.term and self.leader != self.me:
+            told = msgspec.structs.replace(told, term=self.term)
+        super()._append(sender, told)
+
+
+class CountsOldAnswers(Agreement):
+    """Without the look at the term of an answer to the leader."""
+
+    def _appended(self, sender: str, told: Appended) -> None:
+        if told.term < self.term:
+            told = msgspec.structs.replace(told, term=self.term)
+        super()._appended(sender, told)
+
+
+class NeverStepsDown(Agreement):
+    """Without check-quorum: a leader that nobody hears goes on."""
+
+    def _keep_time(self) -> None:
+        for peer in self._known.values():
+            peer.heard = self._now
+        super()._keep_time()
+
+
+class LearnsNoCommit(Agreement):
+    """Without learning from votes how far the log is committed: who was admitted may count for nobody."""
+
+    def _learn(self, mark: Mark) -> None:
+        pass
+
+
+GUARDS: dict[str, type[Agreement]] = {
+    core.__name__: core
+    for core in (
+        VotesForAnyLog, VotesTwice, VotesAfterForgetting, CommitsOldTerms, AppendsAnywhere, AnswersEarly,
+        TakesAnyTerm, CountsOldAnswers, NeverStepsDown, LearnsNoCommit,
+    )
+}  # fmt: skip
--- /dev/null
+++ b/tests/test_agreement.py
@@ -0,0 +1,140 @@
+"""The agreement on a simulated network, with each guard taken out once, and the claims that it decides."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tansyladder.peers.claims import TENURE_BITS, Claim, Claims, Confirm, Ruling
+from tansyladder.sim.agreement import MS, Broken, Faults, S, World, play
+from tansyladder.sim.guards import GUARDS
+
+HARD = Faults(
+    loss=0.1, delay=(1 * MS, 300 * MS), crash_every=800 * MS, down=(100 * MS, 1500 * MS), wiped=0.3,
+    cut_every=700 * MS, cut=(200 * MS, 2 * S),
+)  # fmt: skip
+
+
+@pytest.mark.parametrize("voters", [1, 3, 5])
+def test_what_is_agreed_holds_through_crashes_lost_disks_and_cuts(voters: int) -> None:
+    worlds = [play(seed, voters, 1, 15.0, HARD) for seed in range(12)]
+    assert sum(w.counts["crashes"] for w in worlds) > 100
+    assert sum(w.counts["wiped"] for w in worlds) > 5 or voters == 1
+    assert sum(len(w.answered) for w in worlds) > 400
+
+
+def test_the_same_seed_gives_the_same_history() -> None:
+    one, same, other = (play(seed, 3, 1, 8.0, HARD) for seed in (5, 5, 6))
+    assert (one.committed, one.counts) == (same.committed, same.counts)
+    assert one.committed != other.committed
+
+
+@pytest.mark.parametrize(
+    ("guard", "seed", "found"),
+    [
+        ("VotesForAnyLog", 2, "commits"),
+        ("VotesTwice", 18, "two leaders"),
+        ("VotesAfterForgetting", 16, "commits"),
+        ("AppendsAnywhere", 4, "commits"),
+        ("AnswersEarly", 4, "is in no log"),
+        ("", 5, "two leaders"),  # writes that are not synced before messages leave
+    ],
+)
+def test_a_guard_taken_out_is_found(guard: str, seed: int, found: str) -> None:
+    play(seed, 3, 1, 15.0, HARD)
+    with pytest.raises(Broken, match=found):
+        if guard:
+            play(seed, 3, 1, 15.0, HARD, make=GUARDS[guard])
+        else:
+            play(seed, 3, 1, 15.0, HARD, synced=False)
+
+
+def test_without_a_majority_a_proposal_is_answered_at_once() -> None:
+    world = World(1)
+    world.run(5 * S)
+    for name in world.voters[1:]:
+        world.crash(name, False)
+    world.run(8 * S)  # the one that is left has stepped down or found no leader
+    before = world.counts["unknown"]
+    request = world.propose("n0")
+    assert (world.counts["unknown"], request in world.answered) == (before + 1, False)
+
+
+def test_a_voter_whose_disk_is_gone_votes_again_only_once_the_log_admits_it() -> None:
+    world = World(1, faults=Faults(0.0, 0.0))
+    world.run(5 * S)
+    world.crash("n2", True)
+    world.crash("n1", False)
+    world._up("n2")
+    world.run(9 * S)
+    lost = world.nodes["n2"].core
+    assert lost is not None and not lost.voting  # n0 alone is no majority, and it doesn't count
+    world._up("n1")
+    world.run(15 * S)
+    assert lost.voting
+    world.crash("n1", False)
+    world.run(20 * S)
+    request = world.propose("n0")
+    world.run(21 * S)
+    assert request in world.answered
+
+
+def say(claims: Claims, entry: Claim | Confirm) -> Ruling:
+    return msgspec.msgpack.decode(claims.apply(msgspec.msgpack.encode(entry)), type=Ruling)
+
+
+def claim(by: str, generation: int, at: int = 1, session: int = 7) -> Claim:
+    return Claim(session, generation, 30 * S, by, at * S, (at + 40) * S)
+
+
+def confirm(by: str, tenure: int, floor: int, at: int = 2, session: int = 7) -> Confirm:
+    return Confirm(session, tenure, floor, 30 * S, by, at * S, (at + 40) * S)
+
+
+def test_of_two_claims_with_one_token_one_is_confirmed() -> None:
+    token, claims = 1 << TENURE_BITS | 3, Claims()
+    assert say(claims, claim("a", token)) == Ruling(2)
+    assert say(claims, claim("b", token)) == Ruling(3)  # not confirmed yet, so its owner may be gone as well
+    assert say(claims, confirm("a", 2, 2 << TENURE_BITS | 1)).why == "claimed"
+    assert say(claims, confirm("b", 3, 3 << TENURE_BITS | 1)) == Ruling(3)
+    assert say(claims, confirm("b", 3, 3 << TENURE_BITS | 1)) == Ruling(3)  # its answer was lost
+    assert say(claims, claim("c", token)).why == "spent"
+    assert say(claims, claim("c", 3 << TENURE_BITS | 2)) == Ruling(4)
+
+
+def test_an_owner_that_was_replaced_long_ago_confirms_nothing() -> None:
+    """Its record is forgotten by then, but so is every token that it could be shown."""
+    claims = Claims()
+    say(claims, claim("b", 1 << TENURE_BITS | 3))
+    say(claims, claim("x", 1 << TENURE_BITS | 3, 60, 8))
+    assert list(claims.records) == []  # the second one's token had expired
+    assert say(claims, confirm("a", 1, 9, 61)).why == "expired"
+
+
+STEPS = st.lists(st.tuples(st.integers(0, 2), st.sampled_from("ab"), st.booleans()), max_size=30)
+
+
+@given(STEPS)
+@settings(max_examples=200, deadline=None)
+def test_only_the_newest_claim_of_a_session_is_confirmed(steps: list[tuple[int, str, bool]]) -> None:
+    """Three sessions, two nodes, entries in any order, all within the life of the records."""
+    claims, owned = Claims(), dict[tuple[int, str], int]()
+    floor = dict.fromkeys(range(3), 1 << TENURE_BITS)
+    for at, (session, by, confirms) in enumerate(steps):
+        newest = max((t for (s, _), t in owned.items() if s == session), default=1)
+        if not confirms:
+            spent = say(claims, claim("c", floor[session] - 1, at, session)).why
+            assert spent == ("spent" if floor[session] > 1 << TENURE_BITS else "")
+            owned[session, by] = say(claims, claim(by, floor[session], at, session)).tenure
+            assert owned[session, by] > newest
+        elif (session, by) in owned:
+            tenure = owned[session, by]
+            ruling = say(claims, confirm(by, tenure, tenure << TENURE_BITS, at, session))
+            assert ruling == (Ruling(tenure) if tenure == newest else Ruling(why="claimed"))
+            if tenure == newest:
+                floor[session] = tenure << TENURE_BITS
+    same = Claims()
+    same.load(claims.dump())
+    assert (same.records, same.dump()) == (claims.records, claims.dump())
