Take over sessions of lost nodes, once, by claims in a log that the nodes agree on

A token of a session that is not here is claimed in the log, the session placed under the next tenure's epochs, and a confirmation spends the old tokens before UP. The old owner ends what it has once the log says so. No majority: BUSY at once. A stand-in host went on counting its lines for a connection that had been replaced.

--- a/deploy/settings.example.sexp
+++ b/deploy/settings.example.sexp
@@ -15,4 +15,12 @@
   (enabled false)
   (directory "/var/lib/tansyladder"))
 
+(peers                      ; nodes that take over each other's sessions; the same file at all, but for listen
+  (enabled false)           ; needs resume.enabled, and resume.keys that all nodes share
+  (fleet "render")          ; its name
+  (key "")                  ; 64 hexadecimal digits, which the nodes prove to each other
+  (voters "n0 n1 n2")       ; one, three or five of the members: a majority of them has to be there
+  (members (n0 "10.0.0.4:8100") (n1 "10.0.0.5:8100") (n2 "10.0.0.6:8100"))
+  (listen ""))              ; empty: at the node's own address among the members
+
 (log (json false))          ; one JSON object a line
--- a/tansyladder/lab/chaos/schedule.py
+++ b/tansyladder/lab/chaos/schedule.py
@@ -24,6 +24,8 @@
     CUT_DOWN = "cut_down"  # nothing passes from the hosts to the node
     CUT_CLIENTS = "cut_clients"  # nothing passes between clients and the node
     RESET = "reset"  # all connections of the node's clients break
+    CUT_PEERS = "cut_peers"  # nothing passes between the node and its peers
+    DELAY_PEERS = "delay_peers"  # each way between the node and its peers takes longer
     DELAY = "delay"  # each way between the node and the hosts takes longer
 
 
@@ -60,7 +62,7 @@
         free = [n for n in range(nodes) if n not in busy]
         if len(busy) < max(1, (nodes - 1) // 2) and free:
             node = free[rng.integers(len(free))]
-            value = round(float(rng.uniform(*DELAYS)), 3) if kind is Kind.DELAY else 0.0
+            value = round(float(rng.uniform(*DELAYS)), 3) if kind in (Kind.DELAY, Kind.DELAY_PEERS) else 0.0
             faults.append(Fault(round(at, 3), kind, node, length, value))
         at += float(rng.uniform(*APART))
     return Schedule(seed, nodes, hosts, sessions, tuple(faults))
--- a/tansyladder/lab/hosts.py
+++ b/tansyladder/lab/hosts.py
@@ -69,6 +69,9 @@
             self.writer.write(f"{line}\r\n".encode())
 
     def frame(self) -> None:
+        if self.resumes and self.kept.epoch != self.epoch:  # another owner has it
+            self.writer.close()
+            return
         self.kept.said += 1
         self.say(f"F {self.kept.said} {self.kept.heard}")
 
--- a/tansyladder/net/core.py
+++ b/tansyladder/net/core.py
@@ -60,6 +60,7 @@
     sock: socket.socket
     position: int  # how many of the stream host's lines it has
     deadline: timedelta  # by when it wants its answer
+    expiry: int = 0  # of its token, microseconds of Unix time
 
 
 class Mailbox:
@@ -72,6 +73,7 @@
         self._nudge: Callable[[], None] | None = None
         self._visitors: deque[Visitor] = deque()
         self.standing = False  # whether the transaction's connection stands
+        self.replaced = False  # whether another node owns the session
 
     def open(self) -> None:
         """Take the descriptor that makes it pollable; raises OSError where none is left."""
--- a/tansyladder/net/keeping.py
+++ b/tansyladder/net/keeping.py
@@ -58,7 +58,8 @@
     """The node's records in an open store; safe to share between threads."""
 
     def __init__(self, store: Store, clock: Callable[[], int]) -> None:
-        self._store, self._clock = store, clock
+        self._store = self.store = store
+        self._clock = clock
         self._failed = False
         self._members: dict[str, MemberEntry] = {}
         self._stop = threading.Event()
--- a/tansyladder/net/session.py
+++ b/tansyladder/net/session.py
@@ -128,7 +128,7 @@
             else:
                 self._receipt = standing.lines[0]
                 self._host = Side(standing.sock, standing.buffer)
-                resuming.ledger.begin(session, self._box)
+                resuming.begin(session, self._box)
                 self._tell_client(self._receipt + self._token())  # the final answer of the first request
             while True:
                 try:
@@ -147,7 +147,8 @@
             # In this order: once the ledger has it ended, nobody else comes, and who came is answered.
             resuming.end(session, over.why)
             while visitor := self._box.visitor():
-                self._refuse(visitor, words.refused(over.why.value))
+                taken = over.why is End.TAKEN  # it may be taken back in a moment
+                self._refuse(visitor, resuming.busy if taken else words.refused(over.why.value))
             core.forget(number)
             self._box.close()
             self._stream.close()
@@ -172,6 +173,8 @@
             self._tell_host(self._missing)
         self._take_host_lines(standing.lines[1:])
         while True:
+            if box.replaced:
+                raise _Over(End.TAKEN)
             while visitor := box.visitor():
                 self._let_in(visitor)
             self._keep_up()
@@ -366,9 +369,9 @@
             self._resuming.ledger.restore(self._stream.number)
             self._refuse(visitor, words.refused(err.why))
             return
-        if not self._resuming.spend(self._stream.number, self._opening):
+        if refusal := self._resuming.spend(self._stream.number, self._opening, visitor):
             self._resuming.ledger.restore(self._stream.number)
-            self._refuse(visitor, words.refused("store"))
+            self._refuse(visitor, refusal)
             return
         if self._client is not None:
             sockets.reset(self._client.sock)  # half dead or not: it gets no further line
@@ -394,6 +397,8 @@
                     self._resuming.ledger.restore(self._stream.number)
                     self._refuse(visitor, words.refused(err.why))
                     continue
+            if self._box.replaced:
+                raise _Over(End.TAKEN)
             if self._core.lifecycle.leaving:
                 raise _Over(End.MOVED)
             if now() >= self._expiry:
--- a/tansyladder/options.py
+++ b/tansyladder/options.py
@@ -70,6 +70,30 @@
             raise ValueError("directory: missing")
 
 
+class PeersOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Nodes that take over each other's sessions; the same at all of them, but for `listen`."""
+
+    enabled: bool = False
+    fleet: str = ""  # its name: nodes of another one are refused
+    key: str = ""  # 32 bytes in hexadecimal digits, which all of them prove to each other
+    members: dict[str, str] = {}  # the nodes' names and their addresses for peers
+    voters: str = ""  # the names of one, three or five of them
+    listen: str = ""  # where this node listens for peers; empty: at its own address among the members
+
+    def __post_init__(self) -> None:
+        if not self.enabled:
+            return
+        voters = self.voters.split()
+        if not self.fleet:
+            raise ValueError("fleet: missing")
+        if not re.fullmatch("[0-9a-fA-F]{64}", self.key):
+            raise ValueError("key: 32 bytes in hexadecimal digits expected")
+        if len(set(voters)) not in (1, 3, 5) or len(set(voters)) != len(voters):
+            raise ValueError("voters: one, three or five names expected")
+        if missing := sorted(set(voters) - set(self.members)):
+            raise ValueError(f"voters: not among the members: {missing[0][:40]}")
+
+
 class LogOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """How the log is written."""
 
@@ -81,8 +105,13 @@
 
     resume: ResumeOptions = ResumeOptions()
     store: StoreOptions = StoreOptions()
+    peers: PeersOptions = PeersOptions()
     log: LogOptions = LogOptions()
 
+    def __post_init__(self) -> None:
+        if self.peers.enabled and not (self.resume.enabled and self.resume.keys):
+            raise ValueError("peers.enabled: needs resume.enabled, and resume.keys that all nodes share")
+
 
 def _scalar(value: object, path: str) -> object:
     import sexpdata
--- a/tansyladder/peers/agreement.py
+++ b/tansyladder/peers/agreement.py
@@ -119,7 +119,7 @@
         self._at_admission: dict[str, str] = {}  # disks whose entry is out
         self._admitted = dict(kept.snapshot.voters)  # disks that count in place of the founders'
         self._proposers: dict[int, tuple[str, str]] = {}  # by index: who waits for an entry of this term
-        self._now = now
+        self._now, self._fresh = now, False
         self._heard = now - 2 * ELECTION  # from a leader
         self._election = self._beat = self._hello = 0
         self._out = Out()
@@ -180,11 +180,15 @@
                 case Decided():
                     self._out.answers.append(message)
         self._keep_time()
+        if self._fresh:
+            self._fresh = False
+            for name in self._peers if self.role is Role.LEADER else ():
+                self._send_entries(name, False)
         return self._out
 
     def _keep_time(self) -> None:
         if self._now >= self._hello:
-            self._hello = self._now + ELECTION
+            self._hello = self._now + (ELECTION if self._hard.founders else BEAT)
             for name in self._peers:
                 if not self._hard.founders or name not in self._idents:
                     self._greet(name)
@@ -210,9 +214,11 @@
 
     def _majority(self, names: set[str]) -> bool:
         """Whether these, with this node, are more than half of the voters, on the disks that count."""
-        there = [n for n in self._voters if (n in names or n == self.me) and n in self._idents]
-        count = sum(self._disk(n) == self._idents[n] for n in there)
-        return count * 2 > len(self._voters)
+        return sum(n in names or n == self.me for n in self._counting()) * 2 > len(self._voters)
+
+    def _counting(self) -> list[str]:
+        """The voters that are here on the disks that count."""
+        return [n for n in self._voters if n in self._idents and self._disk(n) == self._idents[n]]
 
     def _greeted(self, sender: str, hello: Hello) -> None:
         self._idents[sender] = hello.ident
@@ -314,8 +320,7 @@
         """A leader's own entries."""
         self._out.writes.append(Tail(self.last + 1, entries))
         self._log += entries
-        for name in self._peers:
-            self._send_entries(name, False)
+        self._fresh = True  # what comes at once goes out in one message
         self._advance()
 
     def _term_at(self, index: int) -> int:
@@ -389,15 +394,15 @@
 
     def _advance(self) -> None:
         """Commit what a majority holds; of earlier terms only along with an entry of this one (5.4.2)."""
-        for index in range(self.last, self.commit, -1):
-            if self.entry(index).term != self.term:
-                return
-            if self._held(index):
+        held = [self.last if name == self.me else self._known[name].match for name in self._counting()]
+        half = len(self._voters) // 2
+        if len(held) > half:
+            index = sorted(held, reverse=True)[half]
+            if index > self.commit and self._own(index):
                 self._commit_to(index)
-                return
 
-    def _held(self, index: int) -> bool:
-        return self._majority({name for name, peer in self._known.items() if peer.match >= index})
+    def _own(self, index: int) -> bool:
+        return self.entry(index).term == self.term
 
     def _commit_to(self, index: int) -> None:
         while self.commit < index:
--- a/tansyladder/peers/claims.py
+++ b/tansyladder/peers/claims.py
@@ -11,10 +11,13 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Callable
 
 import msgspec
 
-TENURE_BITS = 32  # of a token's generation that count within a tenure
+from tansyladder.resume.ledger import TENURE_BITS
+
+YOUNG = 2_000_000  # us after a confirmation in which its token may be given back
 MOST = 16_384  # records; a claim that finds no room is refused
 
 
@@ -30,7 +33,11 @@
 
 
 class Confirm(msgspec.Struct, frozen=True, array_like=True, tag="confirm"):
-    """The owner is about to answer UP: tokens under the floor are spent."""
+    """The owner is about to answer UP: tokens under the floor are spent.
+
+    Or, with the floor from before and a later turn, that it did not: an owner that does not hear in time
+    whether its confirmation holds turns its client away, and gives the token back.
+    """
 
     session: int
     tenure: int
@@ -39,6 +46,7 @@
     by: str
     at: int
     keep: int
+    turn: int  # counts the owner's confirmations of a session; one that is overtaken by a later one is void
 
 
 class Ruling(msgspec.Struct, frozen=True, array_like=True):
@@ -55,12 +63,17 @@
     owner: str
     floor: int  # tokens of lower generations are spent
     keep: int
+    base: int = 0  # the floor when it was claimed, which its owner can't lower
+    turn: int = 0
+    confirmed_at: int = 0
 
 
 class Claims:
     """The state machine; records stand in the order in which they are forgotten."""
 
-    def __init__(self) -> None:
+    def __init__(self, taken: Callable[[int, int, str], None] | None = None) -> None:
+        """`taken`: told of each claim that holds: session, tenure, and whose it is now."""
+        self._taken = taken
         self.records: OrderedDict[int, Record] = OrderedDict()
         self._latest = 0  # the latest time that any entry told
 
@@ -77,13 +90,18 @@
     def _claim(self, told: Claim) -> Ruling:
         known = self.records.get(told.session)
         if known is not None and told.generation < known.floor:
-            return Ruling(why="spent")
+            # Its owner may have turned the client away just now, and be about to give the token back.
+            young = told.at - known.confirmed_at < YOUNG and told.generation >= known.base
+            return Ruling(why="claimed" if young else "spent")
         if told.expiry <= self._latest:
             return Ruling(why="expired")
         if known is None and len(self.records) >= MOST:
             return Ruling(why="full")
         tenure = max(known.tenure if known else 0, told.generation >> TENURE_BITS) + 1
-        self._put(told.session, Record(tenure, told.by, known.floor if known else 0, told.keep))
+        floor = known.floor if known else 0
+        self._put(told.session, Record(tenure, told.by, floor, told.keep, floor))
+        if self._taken is not None:
+            self._taken(told.session, tenure, told.by)
         return Ruling(tenure)
 
     def _confirm(self, told: Confirm) -> Ruling:
@@ -95,8 +113,11 @@
         # Unknown: its owner since it began, or since a claim so old that its tokens have expired.
         if known is not None and (known.tenure, known.owner) != (told.tenure, told.by):
             return Ruling(why="claimed")
-        floor = max(known.floor if known else 0, told.floor)
-        self._put(told.session, Record(told.tenure, told.by, floor, told.keep))
+        if known is not None and told.turn < known.turn:
+            return Ruling(why="claimed")
+        base = known.base if known else 0
+        record = Record(told.tenure, told.by, max(base, told.floor), told.keep, base, told.turn, told.at)
+        self._put(told.session, record)
         return Ruling(told.tenure)
 
     def _put(self, session: int, record: Record) -> None:
--- a/tansyladder/resume/ledger.py
+++ b/tansyladder/resume/ledger.py
@@ -16,6 +16,7 @@
 from tansyladder.resume.tokens import Claim, TokenError
 
 T = TypeVar("T")
+TENURE_BITS = 32  # of a generation that count within a start, or an owner's tenure
 
 
 class End(Enum):
@@ -26,6 +27,7 @@
     LOST = "lost"  # what was not acknowledged did not fit the buffers
     EXPIRED = "expired"  # nobody came back for it in time
     ROOM = "room"  # too many sessions waited for their clients
+    TAKEN = "taken"  # another node has it; it may come back from there
 
 
 class _Entry(Generic[T]):
@@ -47,7 +49,7 @@
         `start`: which start of one life this is. Generations of a later start are higher than all of an
         earlier one, so that the first resume after a restart spends every token from before it.
         """
-        self._remembered, self._first = remembered, start << 32
+        self._remembered, self._first = remembered, start << TENURE_BITS
         self._live: dict[int, _Entry[T]] = {}
         self._ended: OrderedDict[int, End] = OrderedDict()
         self._lock = threading.Lock()
@@ -55,11 +57,15 @@
     def __len__(self) -> int:
         return len(self._live)
 
-    def begin(self, session: int, handle: T, floor: int = 0) -> None:
-        """A new session, its number never used; or one of an earlier start, with what is spent of it."""
+    def begin(self, session: int, handle: T, floor: int = 0, tenure: int = 0) -> None:
+        """A new session, its number never used; or one of an earlier start, with what is spent of it.
+
+        `tenure`: of one that was taken over, its owners so far; its generations begin with that.
+        """
         with self._lock:
             must_hold(session not in self._live and session not in self._ended, "resume_session_twice")
-            self._live[session] = _Entry(handle, self._first, floor or self._first + 1)
+            first = tenure << TENURE_BITS if tenure else self._first
+            self._live[session] = _Entry(handle, first, floor or first + 1)
 
     def knows(self, session: int) -> bool:
         """Whether the session lives, or its end is remembered."""
@@ -70,6 +76,12 @@
         with self._lock:
             return self._live[session].floor
 
+    def handle(self, session: int, tenure: int) -> T | None:
+        """What a session is reached by, where it lives here under an earlier tenure than this one."""
+        with self._lock:
+            entry = self._live.get(session)
+            return entry.handle if entry is not None and entry.generation >> TENURE_BITS < tenure else None
+
     def next_floor(self, session: int) -> int:
         """What `spend` will make the floor."""
         with self._lock:
@@ -119,6 +131,7 @@
         with self._lock:
             if self._live.pop(session, None) is None:
                 return
-            self._ended[session] = why
+            if why is not End.TAKEN:
+                self._ended[session] = why
             while len(self._ended) > self._remembered:
                 self._ended.popitem(last=False)
--- a/tansyladder/serve.py
+++ b/tansyladder/serve.py
@@ -56,6 +56,17 @@
         from tansyladder.net.resuming import Resuming  # and the library of its cryptography
 
         core.resuming = Resuming(core)
+    if chosen.peers.enabled and core.resuming is not None:
+        from tansyladder.net.agreeing import Agreeing  # and all that only peers need
+
+        store = core.keeping.store if core.keeping is not None else None
+        try:
+            agreeing = Agreeing(told.name, chosen.peers, store, core.resuming.replaced)
+        except (OSError, ValueError, config.ConfigError) as err:
+            print(f"event=bad_settings why=peers: {err}", file=sys.stderr)
+            return 2
+        core.resuming.agreeing = agreeing
+        agreeing.start()
     try:
         front = VirtualServer(core, Takeover(told.listen, os.environ.get("TMPDIR")))
         name = "GW_OPERATOR"
