Show each of many tokens at two nodes at once, and measure what peers cost

Need: the promise that a token opens once in the fleet was checked by the core's properties alone, and the cost of peers without a failure was not measured. lab twins shows each token at two nodes at the same moment and once more after that; lab peers-cost plays a quiet fleet with peers and without. Cause of a failed start in the rig: ports that were found free and let go were taken by outgoing connections before the node used them; they come from below the system's range now.

--- a/tansyladder/lab/chaos/fleet.py
+++ b/tansyladder/lab/chaos/fleet.py
@@ -8,7 +8,6 @@
 import json
 import secrets
 import signal
-import socket
 import sys
 import tempfile
 from collections.abc import AsyncIterator
@@ -20,7 +19,7 @@
 from tansyladder.lab.chaos.links import Front, Link
 from tansyladder.lab.chaos.schedule import Fault, Kind
 from tansyladder.lab.clients import Client
-from tansyladder.lab.node import LabNode
+from tansyladder.lab.node import LabNode, spare_port
 from tansyladder.lab.report import Report, clock
 from tansyladder.lab.roster import Roster
 from tansyladder.lab.scene import AT_ONCE, SceneError
@@ -123,10 +122,7 @@
 
     async def _join_peers(self) -> list[str]:
         """A link for each pair of nodes, and each one's settings for its peers."""
-        reached = []
-        for _ in range(self.size):
-            with socket.create_server(("127.0.0.1", 0)) as spare:
-                reached.append("{}:{}".format(*spare.getsockname()))
+        reached = [f"127.0.0.1:{spare_port()}" for _ in range(self.size)]
         for low, high in itertools.combinations(range(self.size), 2):
             link = self.to_peers[low, high] = Link(reached[high])
             await link.start()
--- a/tansyladder/lab/chaos/links.py
+++ b/tansyladder/lab/chaos/links.py
@@ -23,6 +23,7 @@
         self._serving: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
         self.address = ""
+        self.passed = 0  # bytes, both ways
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0, backlog=1024)
@@ -72,6 +73,7 @@
         try:
             while data := await reader.read(CHUNK):
                 await self._open(up)
+                self.passed += len(data)
                 writer.write(data)
                 await writer.drain()
             await self._open(up)
--- a/tansyladder/lab/chaos/play.py
+++ b/tansyladder/lab/chaos/play.py
@@ -17,6 +17,7 @@
 
 STOPPED = 5.0  # seconds
 BACK = 15.0  # seconds in which all clients must be served again
+ANSWER = 5.0  # seconds until an answer counts as missing
 STAND = 1.0  # seconds that all stand before the first fault
 
 
@@ -48,6 +49,62 @@
     }  # fmt: skip
 
 
+async def cost(nodes: int, hosts: int, sessions: int, seed: int, seconds: float) -> dict[str, Any]:
+    """What a fleet costs while nothing fails, with peers and without, one after the other."""
+    out: dict[str, Any] = {"nodes": nodes, "sessions": sessions, "seconds": seconds}
+    for name, peers in (("off", False), ("on", True)):
+        async with fleet(nodes, hosts, seed, peers) as (whole, _):
+            await whole.join(sessions)
+            await asyncio.sleep(STAND)
+            links = whole.to_peers.values()
+            cpu, said = [n.cpu() for n in whole.nodes], sum(link.passed for link in links)
+            await asyncio.sleep(seconds)
+            spent = sum(((n.cpu() - was).total_seconds() for n, was in zip(whole.nodes, cpu, strict=True)))
+            said = sum(link.passed for link in links) - said
+            out[f"cpu_ms_a_node_and_second_{name}"] = round(spent * 1000 / nodes / seconds, 2)
+            out[f"memory_mb_a_node_{name}"] = round(sum(n.memory() for n in whole.nodes) / nodes / 2**20, 2)
+            out[f"bytes_a_node_and_second_{name}"] = round(said / nodes / seconds)
+    return out
+
+
+async def twins(nodes: int, hosts: int, sessions: int, seed: int) -> dict[str, Any]:
+    """Each client's token is shown at two nodes at one moment, and a third time after that."""
+    async with fleet(nodes, hosts, seed) as (whole, history):
+        await whole.join(sessions)
+        await asyncio.sleep(STAND)
+        opened: Counter[int] = Counter()
+        for client in whole.clients:
+            shown = client.give_up()
+            pair = [(client.number + i) % nodes for i in (0, 1 + client.number % (nodes - 1))]
+            words = await asyncio.gather(*(_show(whole, client.number, node, i, *shown)
+                                           for i, node in enumerate(pair)))  # fmt: skip
+            words += [await _show(whole, client.number, (pair[0] + 1) % nodes, 2, *shown)]
+            opened[words.count("UP")] += 1
+    found = checkers.check(history)
+    return {
+        "nodes": nodes, "tokens": sessions, "opened_once": opened[1], "opened_never": opened[0],
+        "token_twice": len(found["token_twice"]), "answers_wrong": len(found["answers_wrong"]),
+        "two_owners": len(found["two_owners"]), "cases": {n: c[:3] for n, c in found.items() if c},
+    }  # fmt: skip
+
+
+async def _show(whole: Fleet, client: int, node: int, turn: int, token: str, rest: str) -> str:
+    """The first word of the answer to a token at a node; the connection ends with it."""
+    ident = f"{client:x}0{turn}"
+    host, _, port = whole.to_nodes[node].address.partition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        whole.history.add("client", "asked", client=client, ident=ident, token=token, text="once more")
+        whole.history.add("front", "sent_to", ident=ident, node=node)
+        writer.write(f"OPEN {ident} {rest}\r\n".encode())
+        answer = (await asyncio.wait_for(reader.readline(), ANSWER)).decode().strip()
+        word = answer.partition(" ")[0]
+        whole.history.add("client", "answered", client=client, ident=ident, word=word, text=answer)
+        return word
+    finally:
+        writer.close()
+
+
 async def chaos(schedule: Schedule, keep: Path | None = None) -> dict[str, Any]:
     """Play a schedule; `keep`: where the history is written."""
     async with fleet(schedule.nodes, schedule.hosts, schedule.seed) as (whole, history):
--- a/tansyladder/lab/clients.py
+++ b/tansyladder/lab/clients.py
@@ -87,6 +87,13 @@
         finally:
             writer.close()
 
+    def give_up(self) -> tuple[str, str]:
+        """Break the connection and come no more; its token, and the rest of a first line that shows it."""
+        self._ending = True
+        self.drop()
+        names = f"c={self.cls},d={self.wait},g={self.group},rt={self.token},rp={self._heard}"
+        return self.token, f"{self.key} {names}"
+
     def drop(self) -> None:
         """The connection breaks: a reset, as when a network is gone."""
         if self._writer is not None:
--- a/tansyladder/lab/commands.py
+++ b/tansyladder/lab/commands.py
@@ -130,6 +130,37 @@
     sys.exit(1 if result["cases"] else 0)
 
 
+@click.command("peers-cost")
+@click.option("--nodes", default=5, show_default=True, type=click.IntRange(3, 9))
+@click.option("--hosts", default=4, show_default=True, type=click.IntRange(1, 20))
+@click.option("--sessions", default=1000, show_default=True, type=click.IntRange(1, 3000))
+@click.option("--seconds", default=10.0, show_default=True, type=click.FloatRange(1, 120))
+@click.option("--seed", default=1, show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="one JSON object")
+def peers_cost_command(
+    nodes: int, hosts: int, sessions: int, seconds: float, seed: int, as_json: bool
+) -> None:
+    """Measure what peers cost a fleet in which nothing fails."""
+    from tansyladder.lab.chaos import play
+
+    _show(asyncio.run(play.cost(nodes, hosts, sessions, seed, seconds)), as_json)
+
+
+@click.command("twins")
+@click.option("--nodes", default=5, show_default=True, type=click.IntRange(3, 9))
+@click.option("--hosts", default=4, show_default=True, type=click.IntRange(1, 20))
+@click.option("--tokens", default=500, show_default=True, type=click.IntRange(1, 3000))
+@click.option("--seed", default=1, show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="one JSON object")
+def twins_command(nodes: int, hosts: int, tokens: int, seed: int, as_json: bool) -> None:
+    """Show each of many tokens at two nodes of a fleet at one moment, and see that it opens once."""
+    from tansyladder.lab.chaos import play
+
+    result = asyncio.run(play.twins(nodes, hosts, tokens, seed))
+    _show(result, as_json)
+    sys.exit(1 if result["cases"] else 0)
+
+
 @click.command("chaos")
 @click.option("--nodes", default=5, show_default=True, type=click.IntRange(3, 9))
 @click.option("--hosts", default=4, show_default=True, type=click.IntRange(1, 20))
@@ -235,6 +266,8 @@
         fleet_command,
         takeover_command,
         chaos_command,
+        twins_command,
+        peers_cost_command,
         store_faults_command,
         store_kill_command,
         store_bench_command,
--- a/tansyladder/lab/node.py
+++ b/tansyladder/lab/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import os
 import socket
@@ -36,6 +37,23 @@
 }  # fmt: skip
 
 
+PORTS = range(10_000, 32_000)  # below those that the system gives to outgoing connections
+_ports = itertools.cycle(PORTS)
+for _ in range(os.getpid() * 97 % len(PORTS)):  # runs beside each other begin at different ones
+    next(_ports)
+
+
+def spare_port() -> int:
+    """A port that nobody listens at, and that no outgoing connection takes until it is used."""
+    for port in itertools.islice(_ports, len(PORTS)):
+        try:
+            with socket.create_server(("127.0.0.1", port)):
+                return port
+        except OSError:
+            continue
+    raise NodeError("no port is free")
+
+
 class NodeError(Exception):
     """The node did not start or end as it should; the message holds its log's last lines."""
 
@@ -54,8 +72,7 @@
     ) -> None:
         """`known`: the list it starts with; `settings`: the operator's, empty for none; `nodes`: in all."""
         self.folder, self._settings = folder, folder / "settings.sexp" if settings else None
-        with socket.create_server(("127.0.0.1", 0)) as spare, socket.create_server(("127.0.0.1", 0)) as other:
-            self.port, self.operator = spare.getsockname()[1], other.getsockname()[1]
+        self.port, self.operator = spare_port(), spare_port()
         whole = {
             "name": name, "listen": f"127.0.0.1:{self.port}",
             "operator": f"127.0.0.1:{self.operator}", "discovery": discovery, "seed": "1ab",
