Take a repeated claim for the same claim, and make one for a session at a time

Cause, found by reading the change once more: a claim that is proposed again after 150 ms without an answer, or two clients with one token at one node at once, made the node the owner of a later tenure than the one that its session began with; each of its confirmations was refused from then on, and its client was told BUSY there until the token expired. Claims carry the node's number for the take-over and are answered as before when they come again; a node claims a session once at a time. The new test fails without the change.

--- a/tansyladder/net/resuming.py
+++ b/tansyladder/net/resuming.py
@@ -67,7 +67,8 @@
         self._durable = peers.enabled or self.keeping is not None
         self.ledger: Ledger[Mailbox] = Ledger(self.options.remembered, self._start)
         self.budget = Budget(int(core.config.limits.memory_mb * (1 << 20) * self.options.memory_share))
-        self._parked = self._taking = self._giving = 0
+        self._parked = self._giving = 0
+        self._taking: set[int] = set()  # sessions that are being claimed
         self._turns = itertools.count(1)
         self._lock = threading.Lock()
 
@@ -220,9 +221,10 @@
     ) -> bytes:  # fmt: skip
         """Claim another node's session in a thread of its own; else the answer that turns its client away."""
         with self._lock:
-            if self._taking >= MOST_TAKING:
+            # Two claims of this node for one session would leave it with the earlier one's tenure.
+            if len(self._taking) >= MOST_TAKING or claim.session in self._taking:
                 return BUSY
-            self._taking += 1
+            self._taking.add(claim.session)
         try:
             take()
             told = (sock, opening, claim, arrived)
@@ -230,7 +232,7 @@
         except RuntimeError as err:
             log("take_over_failed", why=err)
             with self._lock:
-                self._taking -= 1
+                self._taking.discard(claim.session)
             self._answer(sock, opening, BUSY)
         return b""
 
@@ -242,8 +244,11 @@
         assert self.agreeing is not None
         deadline = arrived + opening.wait
         try:
+            if self.ledger.knows(claim.session):  # an earlier claim of this node has just gone through
+                return self._answer(sock, opening, BUSY)
             at, keep = self._span()
-            entry = Claim(claim.session, claim.generation, claim.expiry, self.agreeing.by, at, keep)
+            by, ask = self.agreeing.by, next(self._turns)
+            entry = Claim(claim.session, claim.generation, claim.expiry, by, at, keep, ask)
             ruling = self.agreeing.rule(entry, min(deadline - MARGIN, now() + TAKE))
             if ruling is None:
                 return self._answer(sock, opening, BUSY)
@@ -258,7 +263,7 @@
             self._answer(sock, opening, BUSY if err.why in ("room", "claimed") else words.refused(err.why))
         finally:
             with self._lock:
-                self._taking -= 1
+                self._taking.discard(claim.session)
 
     def _answer(self, sock: socket.socket, opening: Opening, answer: bytes) -> None:
         self._core.figures.answered(opening.cls, Ending.of(answer))
--- a/tansyladder/peers/claims.py
+++ b/tansyladder/peers/claims.py
@@ -30,6 +30,7 @@
     by: str  # the node and its start
     at: int
     keep: int  # until when tokens issued by now may be out
+    ask: int  # the node's number for this take-over: said again, it is the same claim
 
 
 class Confirm(msgspec.Struct, frozen=True, array_like=True, tag="confirm"):
@@ -66,6 +67,7 @@
     base: int = 0  # the floor when it was claimed, which its owner can't lower
     turn: int = 0
     confirmed_at: int = 0
+    ask: int = 0
 
 
 class Claims:
@@ -89,6 +91,8 @@
 
     def _claim(self, told: Claim) -> Ruling:
         known = self.records.get(told.session)
+        if known is not None and (known.owner, known.ask) == (told.by, told.ask):
+            return Ruling(known.tenure)  # its answer was lost, or a copy was long under way
         if known is not None and told.generation < known.floor:
             # Its owner may have turned the client away just now, and be about to give the token back.
             young = told.at - known.confirmed_at < YOUNG and told.generation >= known.base
@@ -99,7 +103,7 @@
             return Ruling(why="full")
         tenure = max(known.tenure if known else 0, told.generation >> TENURE_BITS) + 1
         floor = known.floor if known else 0
-        self._put(told.session, Record(tenure, told.by, floor, told.keep, floor))
+        self._put(told.session, Record(tenure, told.by, floor, told.keep, floor, ask=told.ask))
         if self._taken is not None:
             self._taken(told.session, tenure, told.by)
         return Ruling(tenure)
@@ -116,7 +120,8 @@
         if known is not None and told.turn < known.turn:
             return Ruling(why="claimed")
         base = known.base if known else 0
-        record = Record(told.tenure, told.by, max(base, told.floor), told.keep, base, told.turn, told.at)
+        floor, ask = max(base, told.floor), known.ask if known else 0
+        record = Record(told.tenure, told.by, floor, told.keep, base, told.turn, told.at, ask)
         self._put(told.session, record)
         return Ruling(told.tenure)
 
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 import msgspec
 import pytest
 from hypothesis import given, settings
@@ -86,8 +88,11 @@
     return msgspec.msgpack.decode(claims.apply(msgspec.msgpack.encode(entry)), type=Ruling)
 
 
+ASKS = itertools.count(1)
+
+
 def claim(by: str, generation: int, at: int = 1, session: int = 7) -> Claim:
-    return Claim(session, generation, 30 * S, by, at * S, (at + 40) * S)
+    return Claim(session, generation, 30 * S, by, at * S, (at + 40) * S, next(ASKS))
 
 
 def confirm(by: str, tenure: int, floor: int, at: int = 2, session: int = 7, turn: int = 1) -> Confirm:
@@ -105,6 +110,16 @@
     assert say(claims, claim("c", 3 << TENURE_BITS | 2)) == Ruling(4)
 
 
+def test_a_claim_that_comes_again_is_the_same_claim() -> None:
+    """A copy that was long under way must not make its own node's tenure out of date."""
+    claims, once = Claims(), claim("a", 1 << TENURE_BITS | 3)
+    assert say(claims, once) == say(claims, once) == Ruling(2)
+    assert say(claims, confirm("a", 2, 2 << TENURE_BITS | 1)) == Ruling(2)
+    assert say(claims, once) == Ruling(2)
+    assert say(claims, claim("b", 2 << TENURE_BITS | 1)) == Ruling(3)
+    assert say(claims, confirm("a", 2, 9)).why == "claimed"
+
+
 def test_a_token_is_given_back_by_an_owner_that_did_not_answer_with_it() -> None:
     token, claims = 1 << TENURE_BITS | 3, Claims()
     say(claims, claim("a", token))
