--- a/tansyladder/net/peering.py
+++ b/tansyladder/net/peering.py
@@ -264,7 +264,7 @@
                 if self._channels.get(channel.peer) is channel:
                     del self._channels[channel.peer]
             self._end(channel)
-            log("peer_down", peer=channel.peer)
+            log("peer_down", peer=channel.peer, dropped=self.counts["dropped"])
 
     @staticmethod
     def _end(channel: Channel) -> None:
--- a/tansyladder/net/resuming.py
+++ b/tansyladder/net/resuming.py
@@ -88,10 +88,6 @@
         number = int.from_bytes(os.urandom(8), "big")
         return Stream(number, self.budget, self.options.buffer, self._start, self._durable)
 
-    def begin(self, session: int, box: Mailbox) -> None:
-        """A new session stands here."""
-        self.ledger.begin(session, box)
-
     @staticmethod
     def first_line(opening: Opening, stream: Stream) -> Callable[[timedelta], bytes]:
         """What a stream host gets, by how long the node waits; each call counts as a placement."""
--- a/tansyladder/net/session.py
+++ b/tansyladder/net/session.py
@@ -128,7 +128,7 @@
             else:
                 self._receipt = standing.lines[0]
                 self._host = Side(standing.sock, standing.buffer)
-                resuming.begin(session, self._box)
+                resuming.ledger.begin(session, self._box)
                 self._tell_client(self._receipt + self._token())  # the final answer of the first request
             while True:
                 try:
--- a/tansyladder/peers/claims.py
+++ b/tansyladder/peers/claims.py
@@ -138,3 +138,6 @@
     def load(self, dumped: bytes) -> None:
         self._latest, items = msgspec.msgpack.decode(dumped, type=tuple[int, list[tuple[int, Record]]])
         self.records = OrderedDict(items)
+        if self._taken is not None:  # who was away for long hears of the claims that it has missed
+            for session, record in items:
+                self._taken(session, record.tenure, record.owner)
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -162,6 +162,8 @@
             assert ruling == (Ruling(tenure) if tenure == newest else Ruling(why="claimed"))
             if tenure == newest:
                 floor[session] = tenure << TENURE_BITS
-    same = Claims()
+    told: list[tuple[int, int, str]] = []
+    same = Claims(lambda *claim: told.append(claim))
     same.load(claims.dump())
+    assert told == [(session, record.tenure, record.owner) for session, record in claims.records.items()]
     assert (same.records, same.dump()) == (claims.records, claims.dump())
