Keep a cold member's budget by one schedule of grants, the same at all nodes

Need: cold members are judged by the sum of what all processes send; beyond a budget of N only 2 x root(N) + 2 are chance.

Change: the k-th grant for a member falls at a time that follows from its start, its size when empty and the settings, and is one node's, for one use within the span; derivation beside the code. Who has one uses it first. Of more than 30 nodes some share a grant: there the sum rests on chance.

--- a/tansyladder/choice.py
+++ b/tansyladder/choice.py
@@ -36,7 +36,8 @@
 HICCUP = 3000  # us over its best that a probe may take by chance, on a server whose answers come quickly
 TOLD = 6_000_000  # us after which a node counts as told of what discovery has, whatever its calls met
 FIRST_CALLS = 6  # times sooner than the pace of calls that a first one is made; those that fail keep the pace
-MOST_SPARE = 12.0  # times its even part of a cold server's budget that a node of a large fleet may use
+FILL = 8.0  # connections that fill a unit of a server's size at least, so a cold one's budget is no less
+TURNS = 30  # nodes that the grants for a cold server go round among; of more, some share a turn
 BLAMED = (Status.FULL, Status.TIMEOUT, Status.CONNECT_FAILED, Status.RESET, Status.ERROR)
 MASK = (1 << 64) - 1
 
@@ -61,20 +62,18 @@
     """What this node knows of one server."""
 
     __slots__ = (
-        "id", "zone", "cell", "size", "state", "ready_at", "told_at", "seed", "mark", "strain", "strain_at",
-        "added", "added_at", "delay", "delay_at", "conns", "load", "trying", "credit", "credit_at", "moves",
-        "moving", "probing", "waiting", "best", "doubt", "timed", "groups", "late_to", "tells",
+        "id", "zone", "cell", "size", "whole", "state", "ready_at", "told_at", "seed", "turn", "spent",
+        "mark", "strain", "strain_at", "added", "added_at", "delay", "delay_at", "conns", "load", "trying",
+        "moves", "moving", "probing", "waiting", "best", "doubt", "timed", "groups", "late_to", "tells",
     )  # fmt: skip
 
     def __init__(self, line: api.Line, now: int) -> None:
-        self.id, self.zone, self.cell, self.size = line.server, line.zone, line.cell, 1.0
-        self.seed = mix(line.server)
+        self.id, self.zone, self.cell, self.size, self.whole = line.server, line.zone, line.cell, 1.0, 1.0
+        self.seed, self.turn = mix(line.server), line.name or line.server
         self.conns: dict[int, Request] = {}
         self.groups: dict[int, int] = {}  # how many of them belong to each group
-        self.load = 0.0
-        self.trying = 0  # attempts out that have not ended and do not stand yet
-        self.probing = False
-        self.waiting: list[int] = []
+        self.load, self.trying = 0.0, 0  # attempts out that have not ended and do not stand yet
+        self.probing, self.waiting = False, list[int]()
         self.told_at = now
         self.restart(line.ready_at)
         self.state = line.state
@@ -86,7 +85,7 @@
         self.strain, self.strain_at = 0.0, -1
         self.delay, self.delay_at, self.late_to = 0.0, -1, 0
         self.added, self.added_at = 0.0, 0  # strain of what this node sent since reports could show it
-        self.credit, self.credit_at = -1.0, 0
+        self.spent = 0  # the newest grant of this node's that was used, while it is cold
         self.moves, self.moving = Backoff(), False
         self.best, self.timed = 0, 0  # its quickest answer to a probe; how many bear that out
         self.doubt = self.tells = False  # whether the last answer was odd; whether it tells of its delays
@@ -95,7 +94,7 @@
 class Pool:
     """The ready servers of the home zone, or of all others, and what they are like on the whole."""
 
-    __slots__ = ("servers", "looked_at", "size", "mean", "tide", "carried", "cold")
+    __slots__ = ("servers", "looked_at", "size", "mean", "tide", "cold")
 
     def __init__(self) -> None:
         self.servers: list[Server] = []
@@ -103,7 +102,6 @@
         self.size = self.mean = 0.0  # what of it is warm, and this node's load for each unit of that
         self.tide = EVEN_STRAIN  # the mean strain of those heard of
         self.cold: list[Server] = []
-        self.carried = 0.0  # this node's connections for each unit of a warm server's size
 
 
 class Request:
@@ -143,9 +141,7 @@
     """One node's decisions."""
 
     def __init__(self, settings: api.Settings, seed: int, now: int) -> None:
-        self.rng = Random(seed)
-        self.now = now
-        self.out: list[api.Action] = []
+        self.rng, self.now, self.out = Random(seed), now, list[api.Action]()
         self.servers: dict[int, Server] = {}
         self.home, self.away = Pool(), Pool()
         self.requests: dict[int, Request] = {}
@@ -154,8 +150,7 @@
         self.token = 0
         self.ill = 0.0  # share of this node's last set-ups that failed
         self.held: dict[int, int] = {}  # connections that stand, by tenant; counted as they come and go
-        self.watching = Backoff()
-        self.watch_due = False
+        self.watching, self.watch_due = Backoff(), False
         self.handlers: dict[type, Callable[..., None]] = {
             api.Members: self._members, api.Request: self._request, api.Opened: self._opened,
             api.First: self._first, api.Note: self._note, api.Outcome: self._outcome, api.Gone: self._gone,
@@ -217,16 +212,18 @@
                     self._clear(s)
         for line in event.lines:
             found = self.servers.get(line.server)
+            # An absurd weight must not draw all traffic, nor fail a division.
+            size = line.weight if self.set.weighted and 0 < line.weight < 1e6 else 1.0
             if found is None:
                 found = self.servers[line.server] = Server(line, self.now)
+                found.whole = size
             elif line.ready_at > found.ready_at:
                 found.restart(line.ready_at)
+                found.whole = size  # while it is empty: some weights fall with what a server holds
             if found.state is not line.state:
                 found.state, found.told_at = line.state, self.now
                 self._clear(found)
-            found.zone, found.cell = line.zone, line.cell
-            # An absurd weight must not draw all traffic, nor fail a division.
-            found.size = line.weight if self.set.weighted and 0 < line.weight < 1e6 else 1.0
+            found.zone, found.cell, found.size = line.zone, line.cell, size
         ready = sorted((s for s in self.servers.values() if s.state is State.READY), key=lambda s: s.id)
         self.home.servers = [s for s in ready if s.zone == self.set.zone]
         self.away.servers = [s for s in ready if s.zone != self.set.zone]
@@ -246,16 +243,15 @@
     def _watch_later(self) -> None:
         if not self.watch_due:
             self.watch_due = True
-            # Two whole intervals and the call after them are within the time after which a change is told.
-            self.watching.failed(self.now, min(TOLD, self.set.ask_within) // 32, 3, self.rng)
+            # Two intervals and a call are within the time after which a change counts as told. They don't
+            # start shorter: where the calls of all nodes fail for their number, that keeps them failing.
+            self.watching.failed(self.now, min(TOLD, self.set.ask_within) // 6, 1, self.rng)
             self._later(self.watching.at, self._watch, 0)
 
     # --- requests and the back-off
 
     def _request(self, event: api.Request) -> None:
-        r = Request(
-            event.id, event.cls, event.tenant, event.deadline, event.key, event.key2, event.hint
-        )
+        r = Request(event.id, event.cls, event.tenant, event.deadline, event.key, event.key2, event.hint)
         r.backoff = self.keys.get(event.key) if event.key else None
         self.requests[event.id] = r
         if event.midflow and self.set.pass_through and event.deadline > self.now:
@@ -344,7 +340,7 @@
         more = r.sent + 1 < self.set.max_attempts and self.ill < SHARED
         timeout = max(left // 2, min(aim, left)) if more else left
         if self._cold(s):
-            s.credit -= 1.0
+            s.spent = self._grant(s) or s.spent
         r.server = s
         r.sent += 1
         # Reports lag: without this, all that is placed within the lag herds onto the server last seen idle.
@@ -385,23 +381,26 @@
         same_cell = s.cell == r.ran.cell
         return c.group is Group.ALL or (same_cell if c.group is Group.CELL else s.zone == r.ran.zone)
 
-    def _credit(self, s: Server) -> bool:
-        """Whether this node's part of a cold server's budget has room for one more.
+    def _grants(self, s: Server, at: int) -> float:
+        """How many grants all nodes together have had for a cold server by a moment, the same at each.
 
-        All nodes together may fill a cold server no faster than its like are filled, or it falls over. A
-        node adds at the rate that brings its own part there to what it holds elsewhere; a random first
-        credit keeps a large fleet of nodes from all sending their first at once.
+        It may get N = fall_multiple x its capacity x fall requests in any span of `fall`; up to B = N + 2
+        root(N) + 2 are held for chance. Grants come one by one, (B - 1) / (2 fall) of them in a unit of time,
+        to one node after another, each for one use within `fall`. So what can be used within a span that ends
+        at t was granted in the 2 fall before t: (B - 1) + 1 at most, whoever has work. (B grows with warmth,
+        and a chord lies under a root.) Of more than TURNS nodes some share each grant: they see so little
+        that most would pass unused. There chance keeps the sum, and the bound is as many times as high.
         """
-        pool = self.home if s.zone == self.set.zone else self.away
-        carry = max(s.size * pool.carried, 8 / self.set.balancers)
-        # Of many nodes few have a client to place while they have credit; what the others have is not used.
-        spare = max(1.0, min(self.set.balancers / 3, MOST_SPARE))
-        rate = carry * spare * self._share(s) * self.set.fall_multiple / self.set.cold
-        if s.credit < 0 and not s.credit_at:
-            s.credit, s.credit_at = self.rng.random(), self.now
-        s.credit = min(max(1.0, rate * self.set.fall / 2), s.credit + rate * (self.now - s.credit_at))
-        s.credit_at = self.now
-        return s.credit >= 1.0
+        full = self.set.fall_multiple * FILL * s.whole / self.set.cold * self.set.fall
+        first, last = (n + 2 * math.sqrt(n) + 1 for n in (full * self.set.cold_from, full))
+        t = max(0, at - s.ready_at)
+        return (first * t + (last - first) * t * t / (2 * self.set.cold)) / (2 * self.set.fall)
+
+    def _grant(self, s: Server) -> int:
+        """The oldest grant for a cold server that this node has and may use now; 0: there is none."""
+        oldest = max(s.spent, int(self._grants(s, self.now - self.set.fall))) + 1
+        mine = oldest + (s.turn + self.set.me - oldest) % min(self.set.balancers, TURNS)
+        return mine if mine <= self._grants(s, self.now) else 0
 
     def _added(self, s: Server) -> float:
         return s.added * max(0.0, 1.0 - (self.now - s.added_at) / self.patience)
@@ -417,9 +416,6 @@
         if pool.looked_at < 0 or self.now - pool.looked_at > self.patience // LOOKS:
             pool.looked_at = self.now
             pool.cold = [s for s in pool.servers if self._cold(s)]
-            warm = [s for s in pool.servers if not self._cold(s)]
-            if warm:  # when a deploy has left none, what the last ones held stands for their like
-                pool.carried = sum(len(s.conns) for s in warm) / sum(s.size for s in warm)
             pool.size = sum(s.size * self._share(s) for s in pool.servers)
             pool.mean = sum(s.load for s in pool.servers) / pool.size if pool.size else 0.0
             if self.x0 < 0:  # nobody reports: late messages are all that is heard
@@ -433,7 +429,7 @@
     def _headroom(self, s: Server, pool: Pool) -> float:
         """The weight of a server in the draw: its size, thinned by its load and its warmth."""
         share = self._share(s)
-        if share < 1.0 and not self._credit(s):
+        if share < 1.0 and not self._grant(s):
             return 0.0
         if self._known(s):
             strain = s.strain + self._added(s)
@@ -488,8 +484,11 @@
             # without this a fleet short of capacity is filled up to where every message is late. Cold servers
             # are the relief on its way; their budget paces them.
             full = self._look(pool).tide >= LIMIT or (crowded and pool is self.home)
-            found = self._draw(r.sample, pool, r) if pool is self.home and not full else None
-            found = found or self._draw(pool.cold if full else self._sample(pool, r, WIDE), pool, r)
+            # Who has a grant for a cold one uses it: few requests meet one, and the warm ones carry the rest.
+            found = self._draw(pool.cold, pool, r)
+            if not found and not full:
+                found = self._draw(r.sample, pool, r) if pool is self.home else None
+                found = found or self._draw(self._sample(pool, r, WIDE), pool, r)
             if found:
                 return found
         # A guess sends clients elsewhere, but turns nobody away.
@@ -500,9 +499,8 @@
         """Where a connection handed over mid-flow most likely stands: where any node would have drawn."""
         best, least = None, math.inf
         for s in self.servers.values():
-            told = s.state is State.READY or (
-                s.state is State.DRAINING and self.now - s.told_at < self.set.drain_grace // 2
-            )
+            young = self.now - s.told_at < self.set.drain_grace // 2
+            told = s.state is State.READY or (s.state is State.DRAINING and young)
             if told and s.zone == self.set.zone and not self._cold(s):
                 score = -math.log((mix(r.key ^ s.seed) + 1) / (MASK + 2)) / s.size
                 if score < least:
@@ -638,8 +636,8 @@
     def _timed(self, s: Server, event: api.Probed) -> None:
         """A probe that takes far longer than the server's best, twice in a row, stands for late messages.
 
-        So does one that is answered far sooner than ever: a process that hangs has no work that holds up the
-        answer. Taken for a new best, it would make the server look slow for good once it works again.
+        So does one answered far sooner than ever: what hangs has no work that holds up the answer. Taken for
+        a new best, it would make the server look slow for good once it works again.
         """
         took = event.latency
         idle = event.status is Status.OK and s.timed >= SURE and took < s.best * IDLE
@@ -705,7 +703,7 @@
             part = min(0.5, 1.0 - self.message_aim * LATE / s.delay)
         # The next move waits until this one can show, or the lag moves everything off.
         s.moves.end = max(s.moves.end, self.now + self.patience)
-        # What is worth least for its load goes first: where nothing has room, it is refused when it returns.
+        # What is worth least for its load goes first: where nothing has room, it is refused on its return.
         standing = sorted((self._density(r), r.id) for r in s.conns.values() if r.up and not r.done)
         excess = part * s.load  # counted in load: a few heavy connections may be most of it
         for _, rid in standing:
--- a/tansyladder/interface.py
+++ b/tansyladder/interface.py
@@ -154,6 +154,7 @@
     weight: float
     state: State
     ready_at: int
+    name: int = 0  # the same at every node, where the number is this node's own; 0: the number is it
 
 
 class Members(NamedTuple):
--- a/tansyladder/node/core.py
+++ b/tansyladder/node/core.py
@@ -11,6 +11,7 @@
 import itertools
 import queue
 import threading
+import zlib
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import replace
@@ -288,4 +289,5 @@
             entry.size,
             state,
             since,
+            zlib.crc32(entry.id.encode()),  # nodes number members in the order in which they hear of them
         )
--- a/tansyladder/node/discovery.py
+++ b/tansyladder/node/discovery.py
@@ -21,9 +21,9 @@
 # A watch that falls silent is given up after WAIT + SILENT, and the call in its place has the rest. One that
 # follows a failure may hang as well, where discovery is still down, and the module's back-off (up to 3 s)
 # comes on top of that: so it waits for little.
-WAIT = timedelta(seconds=3.5)  # of one watch call
+WAIT = timedelta(seconds=4.5)  # of one watch call
 AFTER_FAILURE = timedelta(milliseconds=500)  # the same, of the calls from a failure to the next answer
-SILENT = timedelta(seconds=1)  # for an answer, beyond its wait
+SILENT = timedelta(milliseconds=750)  # for an answer, beyond its wait
 ANSWER = timedelta(seconds=2)  # for an answer that is not waited for by intent: calls queue there
 TOGETHER = timedelta(seconds=1)  # a fleet whose pace is shorter may come at once: all get their turn in time
 CONNECT = timedelta(seconds=1)
@@ -137,7 +137,7 @@
                 self._silent = self._failed = True
                 return True
             else:
-                self._failed = True
+                self._failed = silent  # one that was turned away has somebody there
                 self._core.tell_members(MemberList(revision=self._core.revision), ListKind.FAILED)
         if self._pushed:
             if listed is None:
