Read load reports by their names, and tell a connection's load from a delay

Lines at fault: probe.py waited for a second line of positions that never comes in that form, so each probe timed out and marked a sound member; delays.py took `LOAD X` for milliseconds where the settings say that loads are told; the tenant of a first line was dropped (placing.py, request_of: 0).

Change: reports by names, in the order of the settings' columns, behind PONG or in a line of their own; a bad one is logged and the member stays as it was. LOAD is a load where loads are told. Tenants have names and numbers, fixed until a restart with their quotas.

A fixture plays both shapes; a test reads the source for the names of the variants' sites.

--- a/tansyladder/config.py
+++ b/tansyladder/config.py
@@ -110,10 +110,11 @@
 UNTIL_RESTART = (
     "name", "listen", "operator", "seed", "limits", "known", "settings.family", "settings.localities",
     "settings.locality", "settings.kinds", "settings.me", "settings.tick", "settings.report",
-    "settings.weights", "settings.discovery", "settings.extra.mode", "settings.ceilings.probes",
+    "settings.weights", "settings.tenants", "settings.extra.tenant_quota_connections",
+    "settings.discovery", "settings.extra.mode", "settings.ceilings.probes",
 )  # fmt: skip
 KEPT_SETTINGS = ("me", "zone", "tick", "connections", "pass_through", "ask_discovery", "probes",
-                 "report_columns", "weighted")  # fmt: skip
+                 "report_columns", "weighted", "quotas")  # fmt: skip
 POSITIVE = ("slo", "hard_limit")  # of each class
 
 
@@ -132,7 +133,9 @@
     class_names: tuple[str, ...]
     zones: tuple[str, ...]
     kinds: tuple[str, ...]
+    tenants: tuple[str, ...]  # their names, in the order of their numbers
     tells_delay: bool
+    tells_load: bool
     longest_deadline: timedelta
     written: Mapping[str, str]  # what the file says, by the paths of its keys
 
@@ -193,6 +196,19 @@
     return names
 
 
+def _tenant_names(settings: Mapping[str, Any]) -> tuple[str, ...]:
+    tenants = settings.get("tenants", [])
+    if not isinstance(tenants, list):
+        raise ConfigError("settings.tenants: a list expected")
+    for i, one in enumerate(tenants):
+        if not isinstance(one, dict) or not isinstance(one.get("name"), str):
+            raise ConfigError(f"settings.tenants.{i}.name: a name expected")
+    names = tuple(one["name"] for one in tenants)
+    if len(set(names)) != len(names):
+        raise ConfigError("settings.tenants: a name stands twice")
+    return names
+
+
 def _positive(holder: Mapping[str, Any], key: str, path: str) -> None:
     """What is there must be a number, not words that look like one, and above 0."""
     value = holder.get(key, 1)
@@ -255,7 +271,9 @@
         class_names=names,
         zones=_names(read.settings, "localities"),
         kinds=_names(read.settings, "kinds"),
+        tenants=_tenant_names(read.settings),
         tells_delay=tells_delay,
+        tells_load=flat.get("extra.tells_load") == "true",
         longest_deadline=longest,
         written=_written(text, read.known),
     )
@@ -313,6 +331,7 @@
         settings=replace(told.settings, **kept),
         class_names=told.class_names,
         tells_delay=told.tells_delay,
+        tells_load=told.tells_load,
         longest_deadline=told.longest_deadline,
         written=told.written,
     )
--- a/tansyladder/net/delays.py
+++ b/tansyladder/net/delays.py
@@ -1,7 +1,8 @@
 """Delay notes: how long messages take at each pool member, told to the module as the simulator does.
 
-Where the settings say that delays are told, a member's line `LOAD X` is such a note, in milliseconds. Beside
-it lines that wait unanswered are timed: a member that says nothing sends no note either.
+Where the settings say that delays are told, and loads are not, a member's line `LOAD X` is such a note, in
+milliseconds. Where loads are told it is the connection's load, in microseconds of work a second. Beside it
+lines that wait unanswered are timed: a member that says nothing sends no note either.
 """
 
 from __future__ import annotations
@@ -18,6 +19,7 @@
 EVERY = timedelta(seconds=1)  # a note a member at most, while its messages take long
 WINDOW = timedelta(seconds=1)  # what is heard within it is taken together
 KEPT = 64
+MOST_LOAD = 1e9  # microseconds of work a second: a thousand cores
 MOST_MS = 600_000  # of a message: nobody waits for one any longer
 
 
@@ -61,13 +63,20 @@
 class DelayNotes:
     """One standing connection's part in it."""
 
-    __slots__ = ("_member", "_meter", "_tell")
+    __slots__ = ("_loads", "_member", "_meter", "_tell")
 
     def __init__(
-        self, member: int, meter: Callable[[], DelayMeter | None], tell: Callable[[NoteKind, float], None]
+        self,
+        member: int,
+        meter: Callable[[], DelayMeter | None],
+        tell: Callable[[NoteKind, float], None],
+        loads: Callable[[], bool] = lambda: False,
     ) -> None:
-        """`meter`: of the settings in force; none where no delays are told. `tell`: takes milliseconds."""
-        self._member, self._meter, self._tell = member, meter, tell
+        """`meter`: of the settings in force; none where no delays are told. `loads`: whether loads are.
+
+        `tell` takes milliseconds of a delay, microseconds a second of a load.
+        """
+        self._member, self._meter, self._tell, self._loads = member, meter, tell, loads
 
     def timed(self, delay: timedelta) -> None:
         """A line was answered, or has waited, for so long."""
@@ -77,7 +86,10 @@
             self._tell(NoteKind.TIMED, value.total_seconds() * 1000)
 
     def told(self, line: bytes) -> None:
-        """The member's own word of it; what is no delay is passed by."""
+        """The member's own word; what makes no sense is passed by."""
         values = protocol.parse_load(line)
-        if self._meter() is not None and len(values) == 1 and 0 <= values[0] < MOST_MS:
+        if self._loads():
+            if len(values) == 1 and 0 <= values[0] < MOST_LOAD:
+                self._tell(NoteKind.LOAD, values[0])
+        elif self._meter() is not None and len(values) == 1 and 0 <= values[0] < MOST_MS:
             self._tell(NoteKind.DELAY, values[0])
--- a/tansyladder/net/protocol.py
+++ b/tansyladder/net/protocol.py
@@ -4,7 +4,7 @@
 
 import math
 import re
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -16,6 +16,7 @@
 BUSY, BYE, MOVE, LOAD = b"BUSY", b"BYE", b"MOVE", b"LOAD"
 # Names in a client's first line, for sessions that can be resumed; where they can't, they mean nothing.
 OFFER, TICKET, POSITION = "rs", "rt", "rp"
+TENANT = "t"
 _ID = re.compile(r"[0-9a-f]{1,16}\Z", re.I | re.A)
 _NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?\Z", re.A)  # no sign, no exponent, no inf, no huge one
 _NAME = re.compile(r"[a-z][a-z0-9_]{0,31}\Z", re.A)
@@ -149,6 +150,20 @@
     return line.rstrip(b"\r\n").split(b" ", 1)[0]
 
 
+def parse_report(line: bytes, columns: Sequence[str]) -> tuple[float, ...]:
+    """The load report that a line ends with (`x0=0.4,qps=12`), in the order of the settings' columns.
+
+    None (empty) where there is none, or where a column is missing or no finite number.
+    """
+    parts = line.decode("ascii", "replace").strip().rpartition(" ")[2].split(",")
+    told = {name: value for name, _, value in (part.partition("=") for part in parts)}
+    try:
+        values = tuple(float(told[name]) for name in columns)
+    except (KeyError, ValueError):
+        return ()
+    return values if all(map(math.isfinite, values)) else ()
+
+
 def parse_load(line: bytes) -> tuple[float, ...]:
     """The values of a LOAD line; none where one is not a number."""
     try:
--- a/tansyladder/node/core.py
+++ b/tansyladder/node/core.py
@@ -26,6 +26,7 @@
 from tansyladder.net.clock import EPOCH, MICROSECOND, Clock, now
 from tansyladder.net.delays import DelayMeter, DelayNotes
 from tansyladder.net.mailbox import Mailbox, Order, PoolMember
+from tansyladder.net.protocol import TENANT, Opening
 from tansyladder.net.takeover import Takeover
 from tansyladder.node.counts import Counts
 from tansyladder.node.figures import Figures
@@ -230,7 +231,12 @@
         def tell(kind: api.NoteKind, ms: float) -> None:
             self.tell(api.Note(number, kind, attempt, member, ms))
 
-        return DelayNotes(member, lambda: self.delays, tell)
+        return DelayNotes(member, lambda: self.delays, tell, lambda: self.config.tells_load)
+
+    def tenant(self, opening: Opening) -> int:
+        """The number of the tenant that a first line names; 0 where the settings have no such."""
+        name, tenants = opening.told.get(TENANT, ""), self.config.tenants
+        return tenants.index(name) if name in tenants else 0
 
     # --- pool members
 
--- a/tansyladder/node/placing.py
+++ b/tansyladder/node/placing.py
@@ -110,6 +110,6 @@
     """What the module is told of a request; `cls`: its class there; `back`: it broke or was moved."""
     hint = None if opening.hint is None else int(opening.hint)
     return api.Request(
-        number, cls, 0, core.clock.micros(deadline), opening.key, opening.group, hint,
+        number, cls, core.tenant(opening), core.clock.micros(deadline), opening.key, opening.group, hint,
         opening.repeat, False, back,
     )  # fmt: skip
--- a/tansyladder/node/probe.py
+++ b/tansyladder/node/probe.py
@@ -48,7 +48,7 @@
             try:
                 sock.sendall((protocol.STATS if self._columns else protocol.PING) + b"\r\n")
                 buffer, lines = protocol.LineBuffer(), list[bytes]()
-                while len(lines) < (2 if self._columns else 1):
+                while not lines or not self._told(lines):
                     sock.settimeout(max(0.001, seconds_left(until)))
                     data = sock.recv(protocol.MAX_LINE)
                     if not data:
@@ -57,10 +57,19 @@
                     if protocol.word_of(lines[0] if lines else b"PONG") != protocol.PONG:
                         return Status.ERROR, ()
             except TimeoutError:
-                return Status.TIMEOUT, ()
+                if lines:  # it answers, and has no report: it stays as it was known
+                    log("bad_report", member=member.id, line=lines[0][:80])
+                return Status.OK if lines else Status.TIMEOUT, ()
             except OSError:
                 return Status.RESET, ()
             except protocol.LineError as err:
                 log("bad_answer", member=member.id, why=err)
                 return Status.ERROR, ()
-        return Status.OK, protocol.parse_load(lines[1]) if self._columns else ()
+        report = protocol.parse_report(lines[-1], self._columns) if self._columns else ()
+        if self._columns and not report:
+            log("bad_report", member=member.id, line=lines[-1][:80])
+        return Status.OK, report
+
+    def _told(self, lines: list[bytes]) -> bool:
+        """Whether the answer is whole: a report stands behind PONG, or in a line of its own."""
+        return not self._columns or len(lines) > 1 or b"=" in lines[0]
--- a/tansyladder/node/transaction.py
+++ b/tansyladder/node/transaction.py
@@ -159,4 +159,5 @@
         """The module is told of a connection that it did not place."""
         opening = self._opening
         hint = None if opening.hint is None else int(opening.hint)
-        self._core.tell(api.Opened(self._number, self._cls, 0, member.number, opening.key, hint))
+        tenant = self._core.tenant(opening)
+        self._core.tell(api.Opened(self._number, self._cls, tenant, member.number, opening.key, hint))
--- a/tansyladder/node/virtual_server.py
+++ b/tansyladder/node/virtual_server.py
@@ -16,7 +16,7 @@
 from tansyladder.log import log
 from tansyladder.net import protocol, sockets
 from tansyladder.net.clock import MICROSECOND, now, seconds_left
-from tansyladder.net.protocol import TICKET
+from tansyladder.net.protocol import TENANT, TICKET
 from tansyladder.net.takeover import Handed, Takeover
 from tansyladder.node.core import Core
 from tansyladder.node.figures import Ending
@@ -386,6 +386,8 @@
     ) -> bytes:
         if opening.cls not in self._core.classes:
             raise protocol.LineError(f"c: unknown class {opening.cls[:40]}")
+        if self._core.config.tenants and opening.told.get(TENANT) not in self._core.config.tenants:
+            raise protocol.LineError(f"t: unknown tenant {opening.told.get(TENANT, '')[:40]}")
         if self._closing or not self._core.permitted(opening.ident):
             return protocol.format_reject(self.come_back)
         resuming = self._core.resuming
--- /dev/null
+++ b/tests/test_second_shape.py
@@ -0,0 +1,118 @@
+"""Settings of two shapes: lists asked for and no reports, or lists pushed, tenants, reports and loads."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tansyladder import interface as api
+from tansyladder.config import ConfigError
+from tansyladder.net.protocol import parse_report
+from tansyladder.node.probe import Prober
+from tests.node import SETTINGS, Listener, Peer, member, node, told, up
+
+ASKED: dict[str, Any] = SETTINGS
+PUSHED: dict[str, Any] = SETTINGS | {
+    "discovery": "pushed", "weights": "live", "report": {"how": "probe", "columns": ["x0", "rps", "waiting"]},
+    "tenants": [{"name": "north", "share": 0.8}, {"name": "south", "share": 0.2}], "over_share_worth": 0.2,
+    "extra": {"message_aim": [50_000], "tells_delay": True, "tells_load": True,
+              "tenant_quota_connections": [80, 20]},
+    "ceilings": {**SETTINGS["ceilings"], "probes": True, "attempts_cap": 6},
+}  # fmt: skip
+
+
+@pytest.fixture(params=[ASKED, PUSHED], ids=["asked", "pushed"])
+def shape(request: pytest.FixtureRequest) -> dict[str, Any]:
+    """The settings of one customer."""
+    found: dict[str, Any] = request.param
+    return found
+
+
+def test_a_load_line_is_a_delay_or_a_load_as_the_settings_say(tmp_path: Path, shape: dict[str, Any]) -> None:
+    """A connection's load, taken for milliseconds, moved everybody off and marked the member."""
+    host = Listener(up(lambda p: p.say("LOAD 40500", "LOAD -1", "LOAD x", "LOAD 1e300", "LOAD 30")))
+    with node(tmp_path, host, settings=shape) as n:
+        client = n.open("c=chat,t=north,d=1200")
+        assert [client.hear() for _ in range(6)][-1] == "LOAD 30"
+        n.core.wait_for(api.Outcome)
+        kind = api.NoteKind.LOAD if shape is PUSHED else api.NoteKind.DELAY
+        notes = [(e.kind, e.value) for e in n.core.heard if isinstance(e, api.Note)]
+        assert notes == [(kind, 40500.0), (kind, 30.0)]
+        client.close()
+
+
+@pytest.mark.parametrize("tenant", ["t=south,", "t=west,", ""])
+def test_a_tenant_is_told_by_its_number_and_an_unknown_one_gets_its_answer(
+    tmp_path: Path, shape: dict[str, Any], tenant: str
+) -> None:
+    with node(tmp_path, Listener(up()), settings=shape) as n:
+        client = n.open(f"c=chat,{tenant}d=1200")
+        if shape is PUSHED and tenant != "t=south,":
+            assert client.hear() == "ERR"
+            assert not [e for e in n.core.heard if isinstance(e, api.Request)]
+        else:
+            assert client.hear() == "UP r1"
+            assert n.core.wait_for(api.Request).tenant == (1 if shape is PUSHED else 0)
+
+
+@pytest.mark.parametrize(
+    ("answer", "load"),
+    [
+        (["PONG x0=0.5,rps=12,waiting=3"], (0.5, 12.0, 3.0)),
+        (["PONG waiting=3,more=1,x0=0.5,rps=12"], (0.5, 12.0, 3.0)),
+        (["PONG", "LOAD x0=0.5,rps=12,waiting=3"], (0.5, 12.0, 3.0)),
+        (["PONG x0=0.5,rps=12"], ()),
+        (["PONG x0=nan,rps=12,waiting=3"], ()),
+        (["PONG x0=fast,rps=12,waiting=3"], ()),
+        (["PONG"], ()),
+    ],
+)
+def test_a_report_is_read_by_its_names_and_a_bad_one_leaves_the_member_as_it_was(
+    tmp_path: Path, answer: list[str], load: tuple[float, ...]
+) -> None:
+    """Each probe waited for a line that never came, timed out, and marked a sound member."""
+
+    def report(peer: Peer) -> None:
+        assert peer.hear() == "STATS"
+        peer.say(*answer)
+        peer.hear()
+
+    with node(tmp_path, Listener(report), settings=PUSHED) as n:
+        Prober(n.core).start()
+        probed = n.core.wait_for(api.Probed)
+        assert (probed.status, probed.load) == (api.Status.OK, load)
+
+
+def test_reports_name_their_columns() -> None:
+    assert parse_report(b"BYE inflight=7,queue=2,util=0.61\r\n", ("util", "queue")) == (0.61, 2.0)
+    assert parse_report(b"BYE\r\n", ("util",)) == ()
+
+
+@pytest.mark.parametrize(
+    ("over", "named"),
+    [
+        ({"tenants": "north"}, "settings.tenants"),
+        ({"tenants": [{"share": 1}]}, "settings.tenants.0.name"),
+        ({"tenants": [{"name": "north"}, {"name": "north"}]}, "settings.tenants"),
+        ({"classes": []}, "settings.classes"),
+        ({"rules": {"cold": "long"}}, "settings.rules.cold"),
+    ],
+)
+def test_a_bad_setting_of_either_shape_is_named_by_its_path(
+    tmp_path: Path, shape: dict[str, Any], over: dict[str, Any], named: str
+) -> None:
+    with pytest.raises(ConfigError, match=f"^{named}"):
+        told(tmp_path, member("s0", "127.0.0.1:9"), settings=shape | over)
+
+
+def test_no_name_of_these_settings_stands_in_the_program() -> None:
+    """Classes, tenants and places come from the settings alone."""
+    root = Path(__file__).parent.parent
+    files = [*(root / "tansyladder").rglob("*.py"), root / "deploy" / "balancer.toml"]
+    texts = [p.read_text() for p in files]
+    kits = [t for p in (root / "deploy" / "sites").glob("*.toml") for t in p.read_text().split('"')[1::2]]
+    names = {t for t in kits if "-" in t and t.isascii() and "/" not in t and " " not in t and "." not in t}
+    assert {"audit-tail", "permit-review"} <= names
+    assert not [(name, text[:60]) for name in names for text in texts if name in text]
