--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -13,7 +13,7 @@
 from tansyladder.peers.claims import Claim, Claims, Confirm, Opened, Ruling
 from tansyladder.resume.ledger import TENURE_BITS
 from tansyladder.sim.agreement import MS, Broken, Faults, S, World, play
-from tansyladder.sim.guards import GUARDS
+from tests.without_guards import GUARDS
 
 HARD = Faults(
     loss=0.1, delay=(1 * MS, 300 * MS), crash_every=800 * MS, down=(100 * MS, 1500 * MS), wiped=0.3,
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -37,9 +37,9 @@
 )
 from tansyladder.sim.agreement import Faults
 from tansyladder.sim.documents import found, play
-from tansyladder.sim.guards import DOCUMENT_GUARDS
 from tansyladder.store import open_store
 from tansyladder.store.files import RealFiles
+from tests.without_guards import DOCUMENT_GUARDS
 
 HARD = Faults(
     loss=0.1, delay=(1 * MS, 300 * MS), crash_every=4 * S, down=(100 * MS, 6 * S), wiped=0.2,
