Call layers layers and metrics metrics, where 'rooms' and 'figures' stood

Need: the field's words where others hid a standard concept. Nothing else changes: no text that clients, servers, logs or operators read. 'Stories' stand still, as a command is called so.

--- a/tansyladder/lab/fleetlog.py
+++ b/tansyladder/lab/fleetlog.py
@@ -98,7 +98,7 @@
     """A row for each second: what the nodes did, or connections/attempts/failures at each member."""
     if by_member:
         names = fleet.members
-        cells = {str(at): [_figures(fleet, at, name) for name in names] for at in fleet.standing}
+        cells = {str(at): [_metrics(fleet, at, name) for name in names] for at in fleet.standing}
     else:
         names = sorted(fleet.totals)
         cells = {str(at): [str(row[name]) for name in names] for at, row in fleet.seconds.items()}
@@ -112,6 +112,6 @@
     return "\n".join([f"{fleet.nodes} nodes, {fleet.unread} lines unread", "   s " + head, *rows])
 
 
-def _figures(fleet: Fleet, at: int, member: str) -> str:
+def _metrics(fleet: Fleet, at: int, member: str) -> str:
     counts = (fleet.standing[at], fleet.sent[at], fleet.failed[at])
     return "/".join(str(counted[member]) for counted in counts)
--- a/tansyladder/node/core.py
+++ b/tansyladder/node/core.py
@@ -29,9 +29,9 @@
 from tansyladder.net.protocol import TENANT, Opening
 from tansyladder.net.takeover import Takeover
 from tansyladder.node.counts import Counts
-from tansyladder.node.figures import Figures
 from tansyladder.node.hooks import Keeping, Permits, Sessions
 from tansyladder.node.lifecycle import Lifecycle
+from tansyladder.node.metrics import Metrics
 from tansyladder.options import Options
 
 PHASES = {"up": api.State.READY, "draining": api.State.DRAINING, "removed": api.State.GONE}
@@ -57,7 +57,7 @@
         self.permits: Permits | None = None  # where documents are agreed on, once this process has joined
         self.lifecycle = Lifecycle()
         self.takeover = Takeover(config.listen, None)  # the front's, once there is one
-        self.figures = Figures(config.class_names)
+        self.metrics = Metrics(config.class_names)
         self.clock = Clock()
         self._lock = threading.Lock()
         self._timers: list[tuple[timedelta, int]] = []
@@ -75,7 +75,7 @@
         self.delays = self._delay_meter(config)
         self.classes = {name: i for i, name in enumerate(config.class_names)}  # that are in force
         self._terms = {key: i for i, key in enumerate(_terms_of(config))}  # and those that were
-        self._counts = Counts(config.settings.classes, lambda number: self._members[number].id, self.figures)
+        self._counts = Counts(config.settings.classes, lambda number: self._members[number].id, self.metrics)
         self._counted: deque[dict[str, object]] = deque()  # lines that are to be written, outside the lock
         self._balancer = Balancer(config.settings, config.seed, self.clock.micros(now()))
 
@@ -106,7 +106,7 @@
             self._counts.classes = classes
             self.delays = self._delay_meter(told)
             woken = self._decide([settings])
-        self.figures.know(numbers)
+        self.metrics.know(numbers)
         self._done(woken)
 
     def start(self) -> None:
@@ -250,7 +250,7 @@
             return self._members.get(number) if number is not None else None
 
     def pool(self) -> dict[str, int]:
-        """The figures of the list of members, as the module sees it."""
+        """The metrics of the list of members, as the module sees it."""
         size, ejected = self._balancer.pool()
         return {"pool_size": size, "pool_ejected": ejected}
 
--- a/tansyladder/node/counts.py
+++ b/tansyladder/node/counts.py
@@ -11,20 +11,20 @@
 
 from tansyladder import interface as api
 from tansyladder.interface import ClassSettings, Status
-from tansyladder.node.figures import Ending, Figures
+from tansyladder.node.metrics import Ending, Metrics
 
 SECOND = 1_000_000  # microseconds
 ENDINGS = {Ending.OK: "up", Ending.SHED: "refused", Ending.ERRORS: "failed"}  # as a line names them
 
 
 class Counts:
-    """Told of each event and each action that goes through; final answers come out of the node's figures."""
+    """Told of each event and each action that goes through; final answers come out of the node's metrics."""
 
     def __init__(
-        self, classes: Sequence[ClassSettings], name_of: Callable[[int], str], figures: Figures
+        self, classes: Sequence[ClassSettings], name_of: Callable[[int], str], metrics: Metrics
     ) -> None:
-        self.classes, self._name_of, self._figures = classes, name_of, figures
-        self._told = figures.sums()  # what earlier lines have told of them
+        self.classes, self._name_of, self._metrics = classes, name_of, metrics
+        self._told = metrics.sums()  # what earlier lines have told of them
         self._second = 0
         self._counts: Counter[str] = Counter()
         self._standing: Counter[int] = Counter()  # connections, by member
@@ -38,7 +38,7 @@
         second, self._second = self._second, now // SECOND
         if second == self._second:
             return {}
-        sums = self._figures.sums()
+        sums = self._metrics.sums()
         for ending, name in ENDINGS.items():
             self._counts[name] += sums[ending.value] - self._told[ending.value]
         self._told = sums
--- a/tansyladder/node/hooks.py
+++ b/tansyladder/node/hooks.py
@@ -1,4 +1,4 @@
-"""What the node asks of the rooms above it, where an operator's settings put something there."""
+"""What the node asks of the layers above it, where an operator's settings put something there."""
 
 from __future__ import annotations
 
--- a/tansyladder/node/figures.py
+++ b/tansyladder/node/metrics.py
@@ -28,8 +28,8 @@
         return cls.SHED if word_of(answer) == BUSY else cls.ERRORS
 
 
-class Figures:
-    """One node's totals, by class; a class that is gone, or that only clients know, has its figures too."""
+class Metrics:
+    """One node's totals, by class; a class that is gone, or that only clients know, has its metrics too."""
 
     def __init__(self, classes: Iterable[str]) -> None:
         self._lock = threading.Lock()
@@ -39,7 +39,7 @@
         self.know(classes)
 
     def know(self, classes: Iterable[str]) -> None:
-        """From now on these classes have figures too."""
+        """From now on these classes have metrics too."""
         with self._lock:
             for name in classes:
                 self._begin(name)
--- a/tansyladder/node/operator.py
+++ b/tansyladder/node/operator.py
@@ -91,13 +91,13 @@
         return [phase.value]
 
     def _stats(self) -> list[str]:
-        figures = {
-            **self._core.figures.totals(),
+        metrics = {
+            **self._core.metrics.totals(),
             "active": self._front.active,
             **self._core.pool(),
             "phase": self._core.lifecycle.phase.value,
         }
-        return [msgspec.json.encode(figures).decode(), "."]
+        return [msgspec.json.encode(metrics).decode(), "."]
 
     def _standby(self) -> list[str]:
         return self._change(self._core.lifecycle.stand_by)
--- a/tansyladder/node/placing.py
+++ b/tansyladder/node/placing.py
@@ -82,7 +82,7 @@
                     return order
 
     def _tried(self) -> None:
-        self.core.figures.tried(self.cls)
+        self.core.metrics.tried(self.cls)
 
     def _next_order(self) -> Order | ClientLeft | ClientSpoke:
         """What the module says next, or that the client is gone."""
--- a/tansyladder/node/reload.py
+++ b/tansyladder/node/reload.py
@@ -49,11 +49,11 @@
             options = load(self._settings)
         except (ConfigError, OptionsError) as err:
             log("reload_failed", why=err)
-            core.figures.file(applied=False)
+            core.metrics.file(applied=False)
             return
         except Exception as err:  # whatever a file may hold, the next one must still be read
             log("internal_error", why=repr(err))
-            core.figures.file(applied=False)
+            core.metrics.file(applied=False)
             return
         fixed += changed(self._options, options)
         if fixed:
@@ -63,6 +63,6 @@
         if core.resuming is not None:
             core.resuming.rotate(options.resume)
         switched = self._discovery.switch(told.discovery)
-        core.figures.file(applied=True)
+        core.metrics.file(applied=True)
         shown = ",".join(keys)[:MOST_KEYS]
         log("reloaded", discovery="{}:{}".format(*told.discovery), switched=switched, keys=shown)
--- a/tansyladder/node/transaction.py
+++ b/tansyladder/node/transaction.py
@@ -17,7 +17,7 @@
 from tansyladder.net.relay import Relay
 from tansyladder.net.takeover import Handed
 from tansyladder.node.core import Core
-from tansyladder.node.figures import Ending
+from tansyladder.node.metrics import Ending
 from tansyladder.node.placing import ClientLeft, ClientSpoke, Placing, request_of
 
 AGAIN = timedelta(milliseconds=100)  # between two tries to take up a connection from before the run
@@ -97,7 +97,7 @@
     def _answer(self, ending: Ending, line: bytes = b"") -> None:
         """The final answer: counted here, and said where it is the node's own."""
         self.answered = True
-        self._core.figures.answered(self._opening.cls, ending)
+        self._core.metrics.answered(self._opening.cls, ending)
         if line:
             sockets.finish(self._client, line)
 
@@ -122,7 +122,7 @@
         while member is not None and answer.sock is None and not answer.client_left:
             connect = core.config.settings.connect_timeout * MICROSECOND
             flow = ServerSideFlow(
-                member, opening.for_member, self._deadline, connect, lambda: core.figures.tried(opening.cls)
+                member, opening.for_member, self._deadline, connect, lambda: core.metrics.tried(opening.cls)
             )
             answer = flow.open(self._client, self._box)
             if answer.sock is None and now() + AGAIN >= self._deadline:
--- a/tansyladder/node/virtual_server.py
+++ b/tansyladder/node/virtual_server.py
@@ -19,8 +19,8 @@
 from tansyladder.net.protocol import TENANT, TICKET
 from tansyladder.net.takeover import Handed, Takeover
 from tansyladder.node.core import Core
-from tansyladder.node.figures import Ending
 from tansyladder.node.lifecycle import Phase
+from tansyladder.node.metrics import Ending
 from tansyladder.node.transaction import Transaction
 
 # Whoever has sent no whole first line by then gets an ERR, and whoever is still there after that a close: in
@@ -357,16 +357,16 @@
 
     def unread(self) -> None:
         """A line that made no sense was answered."""
-        self._core.figures.unread()
+        self._core.metrics.unread()
 
     def turned_away(self, heard: bytes) -> None:
         """Who said this found no descriptor."""
         try:
             cls = protocol.parse_opening(heard).cls
         except protocol.LineError:
-            self._core.figures.unread()
+            self._core.metrics.unread()
         else:
-            self._core.figures.answered(cls, Ending.SHED)
+            self._core.metrics.answered(cls, Ending.SHED)
 
     def admit(
         self, sock: socket.socket, opening: protocol.Opening, arrived: timedelta, take: Callable[[], None]
@@ -378,7 +378,7 @@
             log("bad_line", where="client", why=err)
             answer = protocol.ERR + b"\r\n"
         if answer:
-            self._core.figures.answered(opening.cls, Ending.of(answer))
+            self._core.metrics.answered(opening.cls, Ending.of(answer))
         return answer
 
     def _admit(
@@ -445,11 +445,11 @@
         except OSError as err:
             log("client_broke", why=err)
             if not transaction.answered:
-                self._core.figures.answered(opening.cls, Ending.LEFT)
+                self._core.metrics.answered(opening.cls, Ending.LEFT)
         except Exception as err:  # one connection's mistake must not cost the others anything
             log("internal_error", why=repr(err))
             if not transaction.answered:
-                self._core.figures.answered(opening.cls, Ending.ERRORS)
+                self._core.metrics.answered(opening.cls, Ending.ERRORS)
             with contextlib.suppress(OSError):
                 sock.sendall(protocol.ERR + b"\r\n")
         finally:
--- a/tansyladder/sessions/resuming.py
+++ b/tansyladder/sessions/resuming.py
@@ -15,7 +15,7 @@
 from tansyladder.net.mailbox import Mailbox, Visitor
 from tansyladder.net.protocol import POSITION, TICKET, Opening
 from tansyladder.node.core import Core
-from tansyladder.node.figures import Ending
+from tansyladder.node.metrics import Ending
 from tansyladder.options import ResumeOptions
 from tansyladder.resume import words
 from tansyladder.resume.ledger import End
@@ -138,7 +138,7 @@
                 self._taking.discard(claim.session)
 
     def _answer(self, sock: socket.socket, opening: Opening, answer: bytes) -> None:
-        self._core.figures.answered(opening.cls, Ending.of(answer))
+        self._core.metrics.answered(opening.cls, Ending.of(answer))
         sockets.prepare(sock)
         sockets.finish(sock, answer)
 
--- a/tansyladder/sessions/session.py
+++ b/tansyladder/sessions/session.py
@@ -23,7 +23,7 @@
 from tansyladder.net.protocol import Opening
 from tansyladder.net.silence import OVERDUE, Question
 from tansyladder.node.core import Core
-from tansyladder.node.figures import Ending
+from tansyladder.node.metrics import Ending
 from tansyladder.node.placing import Placing, request_of
 from tansyladder.resume import words
 from tansyladder.resume.ledger import End
@@ -381,7 +381,7 @@
             self._shared.unpark()
         sockets.prepare(visitor.sock)
         self._client = Side(visitor.sock)
-        self._core.figures.answered(self._opening.cls, Ending.OK)
+        self._core.metrics.answered(self._opening.cls, Ending.OK)
         log("session_resumed", position=visitor.position)
         self._tell_client(self._receipt + at + self._token() + b"".join(lines))
         if self._client is not None:  # else it was gone: the token is in doubt, not spent
@@ -482,6 +482,6 @@
         return found.retry_after * MICROSECOND if isinstance(found, api.Refuse) else timedelta(0)
 
     def _refuse(self, visitor: Visitor, answer: bytes) -> None:
-        self._core.figures.answered(self._opening.cls, Ending.of(answer))
+        self._core.metrics.answered(self._opening.cls, Ending.of(answer))
         sockets.prepare(visitor.sock)
         sockets.finish(visitor.sock, answer)
--- a/tansyladder/store/engine.py
+++ b/tansyladder/store/engine.py
@@ -488,7 +488,7 @@
 
     @property
     def stats(self) -> dict[str, int]:
-        """Figures for logs and tools."""
+        """Metrics for logs and tools."""
         with self._lock:
             return {
                 "keys": len(self._index),
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -86,7 +86,7 @@
             client.close()
         n.core.wait_for(api.Gone)  # and not after 9 s: the wait for the connection is over
         assert n.core.wait_for(api.Outcome).closed
-        assert n.core.figures.sums()["tries"] == 0
+        assert n.core.metrics.sums()["tries"] == 0
     # Whatever connection comes up later brings nothing; there is none where the wait was given up.
     host.sock.settimeout(0.0)
     with pytest.raises(BlockingIOError):
@@ -311,7 +311,7 @@
         monkeypatch.setattr(threading.Thread, "start", none_left)
         client = n.open()
         assert [client.hear(), client.hear()] == ["BUSY 200", ""]
-        assert n.front.active == 0 and n.core.figures.sums()["shed"] == 1
+        assert n.front.active == 0 and n.core.metrics.sums()["shed"] == 1
 
 
 def test_a_resting_front_is_told_the_end_before_the_close(tmp_path: Path) -> None:
--- a/tests/test_fleetlog.py
+++ b/tests/test_fleetlog.py
@@ -24,13 +24,13 @@
 from tansyladder.lab import fleetlog
 from tansyladder.log import render
 from tansyladder.node.counts import Counts
-from tansyladder.node.figures import Ending, Figures
+from tansyladder.node.metrics import Ending, Metrics
 from tests.helpers import MS, S, settings
 
 
 def lines_of(at: int, refused: bool) -> list[str]:
     """What one node writes: it takes 9 up, places 1 late at its second attempt, and 9 ends; 2 is refused."""
-    figures = Figures(["chat"])
+    figures = Metrics(["chat"])
     counts, lines = Counts(settings().classes, lambda n: f"s-{n}", figures), ["event=started name=n0"]
     story: list[tuple[int, list[Event], list[Action]]] = [
         (at * S, [Opened(9, 0, 0, 4), Request(1, 0, 0, at * S + 2 * S)], [Send(1, 4, S), Probe(5)]),
--- a/tests/test_rooms.py
+++ b/tests/test_layers.py
@@ -1,4 +1,4 @@
-"""Imports go down from room to room, and nowhere in a ring; those for types alone count as well."""
+"""Imports go down from layer to layer, and nowhere in a ring; those for types alone count as well."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 import tansyladder
 
 ROOT = Path(tansyladder.__file__).parent
-ROOMS = ("net", "node", "sessions", "fleet")  # from the bottom to the top
+LAYERS = ("net", "node", "sessions", "fleet")  # from the bottom to the top
 TOOLS = ("lab", "sim")
 
 
@@ -31,14 +31,14 @@
     return found
 
 
-def room(module: str) -> str:
+def layer(module: str) -> str:
     return module.split(".")[1] if module.count(".") > 1 else ""
 
 
 def up(module: str, other: str) -> bool:
-    """Whether an import goes to a room above, or to a tool."""
-    here, there = room(module), room(other)
-    return here in ROOMS and (there in TOOLS or there in ROOMS[ROOMS.index(here) + 1 :])
+    """Whether an import goes to a layer above, or to a tool."""
+    here, there = layer(module), layer(other)
+    return here in LAYERS and (there in TOOLS or there in LAYERS[LAYERS.index(here) + 1 :])
 
 
 def test_no_module_imports_itself_over_others() -> None:
@@ -46,5 +46,5 @@
     assert order.index("tansyladder.net.clock") < order.index("tansyladder.fleet.joining")
 
 
-def test_rooms_import_downwards_only_and_no_tool() -> None:
+def test_layers_import_downwards_only_and_no_tool() -> None:
     assert not [f"{one} -> {to}" for one, others in imports().items() for to in others if up(one, to)]
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -105,9 +105,9 @@
     def refused(self) -> str:
         with pytest.raises(ConfigError) as err:
             reload(self.environ, self.node.core.config)
-        files = self.node.core.figures.totals()["config_rejected"]
+        files = self.node.core.metrics.totals()["config_rejected"]
         self.reloader.read()
-        assert self.node.core.figures.totals()["config_rejected"] == files + 1  # type: ignore[operator]
+        assert self.node.core.metrics.totals()["config_rejected"] == files + 1  # type: ignore[operator]
         return str(err.value)
 
 
@@ -126,7 +126,7 @@
         n.edit(setting("settings.classes", [other]), setting("settings.ceilings.attempts_cap", 1))
         n.edit(setting("name", "else"), setting("settings.ceilings.connect_timeout", 50_000))
         n.reloader.read()
-        assert core.figures.totals()["config_applied"] == 1
+        assert core.metrics.totals()["config_applied"] == 1
         assert (core.config.name, core.config.settings.connect_timeout) == ("n0", 50_000)
         gone, new = n.node.open(), n.node.open("c=draw,d=900")
         assert (gone.hear(), new.hear()) == ("ERR", "UP r1")
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -173,7 +173,7 @@
         assert [again.hear(), again.hear()] == ["ERR resume spent", ""]
         viewer.say("M 2")
         assert viewer.hear() == "F 4"  # and the second use hurt nobody
-        counted = n.core.figures.sums()
+        counted = n.core.metrics.sums()
         assert (counted["ok"], counted["errors"], counted["shed"], counted["tries"]) == (2, 1, 0, 1)
 
 
