--- a/tansyladder/config.py
+++ b/tansyladder/config.py
@@ -140,6 +140,20 @@
     written: Mapping[str, str]  # what the file says, by the paths of its keys
 
 
+def absent(config: Config) -> list[str]:
+    """What the settings don't give, and is off therefore."""
+    has = {
+        "delays": config.tells_delay,
+        "loads": config.tells_load,
+        "probes": config.settings.probes,
+        "pushed_lists": not config.settings.ask_discovery,
+        "reports": bool(config.settings.report_columns),
+        "tenants": bool(config.tenants),
+        "weights": config.settings.weighted,
+    }
+    return [name for name, given in has.items() if not given]
+
+
 def address(text: str, key: str) -> Address:
     """HOST:PORT as a pair; the platform has no DNS, and looking a name up would block without an end."""
     host, _, port = text.rpartition(":")
--- a/tansyladder/node/discovery.py
+++ b/tansyladder/node/discovery.py
@@ -106,7 +106,10 @@
         started, listed, why, silent = now(), None, "", False
         try:
             body = http.get(PATH if new else path, CONNECT, ANSWER if new else wait + SILENT)
-            listed = self._decoder.decode(body)
+            read = self._decoder.decode(body)
+            if not read.complete and read.revision < self._core.revision:
+                raise HttpError(f"older than what is known: {read.revision}")
+            listed = read
         except (OSError, HttpError, msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as err:
             http.close()
             why, silent = str(err), isinstance(err, Silence)
--- a/tansyladder/node/probe.py
+++ b/tansyladder/node/probe.py
@@ -49,7 +49,9 @@
                 sock.sendall((protocol.STATS if self._columns else protocol.PING) + b"\r\n")
                 buffer, lines = protocol.LineBuffer(), list[bytes]()
                 while not lines or not self._told(lines):
-                    sock.settimeout(max(0.001, seconds_left(until)))
+                    if not (left := seconds_left(until)):
+                        raise TimeoutError  # however many bytes came now and then
+                    sock.settimeout(left)
                     data = sock.recv(protocol.MAX_LINE)
                     if not data:
                         return Status.RESET, ()
--- a/tansyladder/serve.py
+++ b/tansyladder/serve.py
@@ -82,6 +82,7 @@
     reloader = Reloader(os.environ, core, discovery, settings)
     reloader.start()
     log("started", name=told.name, members=len(told.known.members), sockets=told.limits.sockets)
+    log("not_given", what=",".join(config.absent(told)))
     while (got := signal.sigwait(SIGNALS)) == signal.SIGHUP:
         reloader.ask()  # read elsewhere: a SIGTERM meanwhile must not wait for a slow disk
     log("stopping", signal=signal.Signals(got).name)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import json
 import socket
 import struct
 import threading
@@ -21,8 +22,9 @@
 from tansyladder.net.flow import Answer, ServerSideFlow
 from tansyladder.net.mailbox import Mailbox
 from tansyladder.node import virtual_server
+from tansyladder.node.discovery import Discovery
 from tansyladder.node.virtual_server import Admission, VirtualServer
-from tests.node import SETTINGS, HeardCore, Listener, Node, Peer, fresh, node, up
+from tests.node import SETTINGS, HeardCore, Listener, Node, Peer, fresh, member, node, up
 
 SOON = timedelta(seconds=10)
 RESET = struct.pack("ii", 1, 0)  # a close with it is one
@@ -168,6 +170,51 @@
         assert len(lines) == 1
 
 
+def test_an_answer_that_never_ends_is_left_at_the_deadline(tmp_path: Path) -> None:
+    """Each byte begins a wait anew, but not the attempt's time."""
+    sent: list[bytes] = []
+    answered = threading.Event()
+
+    def drip(peer: Peer) -> None:
+        peer.hear()
+        while not answered.wait(0.002):
+            peer.sock.sendall(b"U")
+            sent.append(b"U")
+
+    with node(tmp_path, Listener(drip)) as n:
+        client = n.open("c=chat,d=300")
+        assert client.hear().startswith("BUSY")
+        answered.set()
+        assert n.core.wait_for(api.Outcome).status is api.Status.TIMEOUT
+        assert len(sent) < 1000  # not only once its line is too long
+
+
+def test_an_older_change_is_no_news(tmp_path: Path) -> None:
+    """A delayed answer of a watch must not bring back what a newer one took away."""
+    bodies = iter([
+        {"revision": 7, "complete": False, "members": [member("s9", "127.0.0.1:9", phase="draining")]},
+        {"revision": 6, "complete": False, "members": [member("s9", "127.0.0.1:9")]},
+    ])  # fmt: skip
+
+    def answer(peer: Peer) -> None:
+        while peer.hear():
+            while peer.hear():
+                pass
+            if (body := next(bodies, None)) is None:
+                return
+            text = json.dumps(body)
+            peer.sock.sendall(f"HTTP/1.1 200 OK\r\nContent-Length: {len(text)}\r\n\r\n{text}".encode())
+
+    seldom = SETTINGS | {"rules": {"ask_within": 10**12}}  # the module's own calls stay out of this
+    known = {"revision": 5, "members": [member("s0", "127.0.0.1:9")]}
+    with node(tmp_path, discovery=Listener(answer).address, known=known, settings=seldom) as n:
+        Discovery(n.core).start()
+        n.core.watches.put(True)
+        assert n.core.wait_for(api.Members, 3).kind is api.ListKind.FAILED
+        s9 = n.core.member_of_id("s9")
+        assert s9 is not None and s9.state is api.State.DRAINING and n.core.revision == 7
+
+
 def end(n: Node) -> None:
     """The drain of SIGTERM in a thread of its own, up to its end."""
     drain = threading.Thread(target=n.front.drain, daemon=True)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -17,6 +17,7 @@
 from contextlib import contextmanager
 from datetime import timedelta
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -387,6 +388,29 @@
         assert run.stderr is not None and b"Traceback" not in run.stderr.read()
 
 
+def test_idle_clients_leave_discovery_and_flows_their_descriptors(tmp_path: Path) -> None:
+    """They may fill the table while discovery is down; its return is heard all the same."""
+    host = Listener(up(lambda peer: void(*iter(peer.hear, ""))))
+    later = Roster(9, member("s0", host.address))
+    gate = socket.socket()
+    gate.bind(("127.0.0.1", 0))  # refuses until it listens
+    limits = {"cores": 1, "memory_mb": 32, "sockets": 96}
+    over: dict[str, Any] = {"discovery": f"127.0.0.1:{gate.getsockname()[1]}", "limits": limits}
+    with program(tmp_path, host, "sh", "-c", 'ulimit -n 96; exec "$@"', "sh", **over) as (run, port):
+        until_line(run, b"event=discovery_failed")
+        clients = [client_of(port, fresh()) for _ in range(30)]
+        assert {client.hear().split()[0] for client in clients} == {"UP", "BUSY"}  # the table is full
+        idle = [socket.create_connection(("127.0.0.1", port), 5) for _ in range(60)]
+        gate.listen()
+        sock, _ = gate.accept()
+        threading.Thread(target=later._serve, args=(Peer(sock),), daemon=True).start()
+        until_line(run, b"event=members revision=9")
+        for client in clients:
+            client.close()
+        for silent in idle:
+            silent.close()
+
+
 def test_the_spare_descriptor_is_closed_once(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     """Where it could not be had again, its old number was closed anew: by then it may be a client's."""
     front = VirtualServer(HeardCore(told(tmp_path)))
--- a/tests/test_second_shape.py
+++ b/tests/test_second_shape.py
@@ -8,7 +8,7 @@
 import pytest
 
 from tansyladder import interface as api
-from tansyladder.config import ConfigError
+from tansyladder.config import ConfigError, absent
 from tansyladder.net.protocol import parse_report
 from tansyladder.node.probe import Prober
 from tests.node import SETTINGS, Listener, Peer, member, node, told, up
@@ -85,6 +85,12 @@
         assert (probed.status, probed.load) == (api.Status.OK, load)
 
 
+def test_what_the_settings_do_not_give_is_named(tmp_path: Path, shape: dict[str, Any]) -> None:
+    off = absent(told(tmp_path, settings=shape))
+    more = ["loads", "probes", "pushed_lists", "reports", "tenants", "weights"]
+    assert off == ([] if shape is PUSHED else more)
+
+
 def test_reports_name_their_columns() -> None:
     assert parse_report(b"BYE inflight=7,queue=2,util=0.61\r\n", ("util", "queue")) == (0.61, 2.0)
     assert parse_report(b"BYE\r\n", ("util",)) == ()
