--- a/tansyladder/node/discovery.py
+++ b/tansyladder/node/discovery.py
@@ -19,7 +19,7 @@
 
 # A change counts as told 6 s after discovery had it and could be reached, whatever became of a node's calls.
 # A watch that falls silent is given up after WAIT + SILENT, and the call in its place has the rest. One that
-# follows a failure may hang as well, where discovery is still down, and the module's back-off (up to 3 s)
+# follows a failure may hang as well, where discovery is still down, and the module's back-off (up to 4 s)
 # comes on top of that: so it waits for little.
 WAIT = timedelta(seconds=4.5)  # of one watch call
 AFTER_FAILURE = timedelta(milliseconds=500)  # the same, of the calls from a failure to the next answer
@@ -103,11 +103,12 @@
             _pause(random.uniform(0, 1) * retry)
         wait = AFTER_FAILURE if self._failed else WAIT
         path = f"{PATH}?since={self._core.revision}&timeout_ms={wait // (1000 * MICROSECOND)}"
-        started, listed, why, silent = now(), None, "", False
+        started, listed, why, silent, older = now(), None, "", False, False
         try:
             body = http.get(PATH if new else path, CONNECT, ANSWER if new else wait + SILENT)
             read = self._decoder.decode(body)
-            if not read.complete and read.revision < self._core.revision:
+            older = not read.complete and read.revision < self._core.revision
+            if older:
                 raise HttpError(f"older than what is known: {read.revision}")
             listed = read
         except (OSError, HttpError, msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as err:
@@ -133,6 +134,9 @@
                     self._core.keeping.tell_members(listed)
             elif new:
                 self._retry = min(2 * retry, RETRY)
+            elif older:  # late, or its numbers have begun anew: the whole list tells
+                self._new, self._retry = True, self._spread
+                return True
             elif self._pushed:
                 self._failed = True
             elif silent and not self._silent:
