--- a/tansyladder/node/virtual_server.py
+++ b/tansyladder/node/virtual_server.py
@@ -132,16 +132,17 @@
         The sending sides are ended first, and what still comes is read to its end, within a bound: a close
         over unread bytes is a reset, and what was read after our end must not be served.
         """
-        while not self._held and self._take_in():
+        until = now() + SEEN_OUT
+        while not self._held and now() < until and self._take_in():
             pass
         for newcomer in list(self._newcomers.values()):
             if not newcomer.told:
                 self._guarded(newcomer)
             if not newcomer.told and self._newcomers.get(newcomer.sock.fileno()) is newcomer:
                 self._tell(newcomer, b"")
+        self._poll.unregister(self._wake)  # it may be readable still, and would spin the poll
         with contextlib.suppress(OSError, KeyError):  # the listener was shut down
             self._poll.unregister(self._listener)
-        until = now() + SEEN_OUT
         while self._newcomers and now() < until:
             for fd, _ in self._poll.poll(-(-seconds_left(until) * 1000 // 1)):
                 if (leaving := self._newcomers.get(fd)) is not None:
