--- /dev/null
+++ b/review/standins/host.py
@@ -0,0 +1,80 @@
+"""A stand-in stream host: it executes each request that it accepts, and answers UP when that is done."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import struct
+import threading
+import time
+
+from standins.lines import LineReader, Opening, address_of, close, listen, parse_opening
+from standins.record import Record
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # `struct linger`: enabled, 0 s
+
+
+class StreamHost:
+    """A stream host. Each connection is served by a thread of its own."""
+
+    def __init__(self, record: Record, host_id: str, set_up_time: float = 0.01) -> None:
+        """Listen on a free port; `set_up_time` is from a first line to its UP, in seconds."""
+        self.host_id = host_id
+        self.set_up_time = set_up_time
+        self._record = record
+        self._listener = listen()
+        self.address = address_of(self._listener)
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def stop(self) -> None:
+        """Accept no further connection."""
+        close(self._listener)
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _ = self._listener.accept()
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock: socket.socket) -> None:
+        with sock, contextlib.suppress(OSError):
+            reader = LineReader(sock)
+            line = reader.read(None)
+            while line == b"PING":
+                sock.sendall(b"PONG\r\n")
+                line = reader.read(None)
+            if line is None:
+                return
+            opening = parse_opening(line)
+            if opening is None:
+                self._record.add(self.host_id, "syntax", line=line[:80])
+                sock.sendall(b"SYNTAX\r\n")
+                return
+            self._record.add(
+                self.host_id, "received", id=opening.connection_id, key=opening.key, d=opening.values["d"]
+            )
+            self.serve_opening(sock, reader, opening)
+
+    def serve_opening(self, sock: socket.socket, reader: LineReader, opening: Opening) -> None:
+        """Execute a request, answer UP, and answer each line until the connection ends."""
+        self.execute(opening)
+        time.sleep(self.set_up_time)
+        self.answer_up(sock, reader, opening)
+
+    def execute(self, opening: Opening) -> None:
+        """Execute the request of a first line: from now on it has had its effect."""
+        self._record.add(self.host_id, "executed", id=opening.connection_id, key=opening.key)
+
+    def answer_up(self, sock: socket.socket, reader: LineReader, opening: Opening) -> None:
+        """Answer UP, then answer each line until the connection ends."""
+        sock.sendall(f"UP {self.host_id}-{opening.connection_id}\r\n".encode())
+        self._record.add(self.host_id, "answered", id=opening.connection_id, answer="UP")
+        while (line := reader.read(None)) is not None:
+            sock.sendall(b"OK " + line + b"\r\n")
+
+    def reset(self, sock: socket.socket, opening: Opening) -> None:
+        """Break the connection of a request that was received."""
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        sock.close()
+        self._record.add(self.host_id, "reset", id=opening.connection_id)
