--- a/review/standins/host.py
+++ b/review/standins/host.py
@@ -8,21 +8,28 @@
 import threading
 import time
 
-from standins.lines import LineReader, Opening, address_of, close, listen, parse_opening
+from standins.lines import LineReader, Opening, address_of, close, listen, parse_address, parse_opening
 from standins.record import Record
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # `struct linger`: enabled, 0 s
+BACKLOG = 128
+OWN_TIMEOUT = 1.0  # seconds
+ACCEPT_TIME = 0.03  # seconds in which the thread that waits for a connection has accepted it
 
 
 class StreamHost:
     """A stream host. Each connection is served by a thread of its own."""
 
-    def __init__(self, record: Record, host_id: str, set_up_time: float = 0.01) -> None:
+    def __init__(
+        self, record: Record, host_id: str, set_up_time: float = 0.01, backlog: int = BACKLOG
+    ) -> None:
         """Listen on a free port; `set_up_time` is from a first line to its UP, in seconds."""
         self.host_id = host_id
         self.set_up_time = set_up_time
         self._record = record
-        self._listener = listen()
+        self._may_accept = threading.Event()
+        self._may_accept.set()
+        self._listener = listen(backlog)
         self.address = address_of(self._listener)
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -30,9 +37,30 @@
         """Accept no further connection."""
         close(self._listener)
 
+    def delay_connections(self, duration: float) -> None:
+        """Let no new connection come up for a while; the host must listen with a backlog of 0.
+
+        One connection of its own is accepted by the thread that waits for one, a second one fills the queue.
+        The system drops what other hosts send to open a connection, and they repeat it a second later.
+        """
+        self._may_accept.clear()
+        self._record.add(self.host_id, "connections_late", for_s=duration)
+        own = []
+        for _ in range(2):
+            own.append(socket.create_connection(parse_address(self.address), OWN_TIMEOUT))
+            time.sleep(ACCEPT_TIME)
+
+        def end() -> None:
+            self._may_accept.set()
+            for sock in own:
+                sock.close()
+
+        threading.Timer(duration, end).start()
+
     def _accept(self) -> None:
         with contextlib.suppress(OSError):
             while True:
+                self._may_accept.wait()
                 sock, _ = self._listener.accept()
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
