--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -24,12 +24,12 @@
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._reader = LineReader(self._sock)
 
-    def open(self, key: str, class_name: str, wait: float) -> str:
+    def open(self, key: str, class_name: str, wait: float, more: str = "") -> str:
         """Send the first line and wait for its answer; return that, or a word in brackets if there is none.
 
-        `wait` is how long the client waits, in seconds.
+        `wait` is how long the client waits, in seconds; `more` is added to the line's values.
         """
-        line = f"OPEN {self.connection_id} {key} c={class_name},d={round(wait * 1000)},g={key}"
+        line = f"OPEN {self.connection_id} {key} c={class_name},d={round(wait * 1000)},g={key}{more}"
         self._record.add(
             self._client, "sent", node=self._node, id=self.connection_id, key=key, cls=class_name
         )
