--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 import os
+import secrets
 import shutil
 import signal
 import socket
@@ -23,6 +24,7 @@
 READY_TIMEOUT = 30.0  # seconds within which a node has to be ready
 PING_INTERVAL = 0.1  # seconds
 EXIT_TIMEOUT = 5.0  # seconds after SIGKILL
+PORTS = range(10_000, 32_000)
 
 
 class CannotRunError(Exception):
@@ -30,9 +32,11 @@
 
 
 def free_port() -> int:
-    """Return a loopback port that nobody uses now."""
-    with socket.create_server((LOOPBACK, 0)) as sock:
-        return int(sock.getsockname()[1])
+    """Return a loopback port that nobody uses, below those that systems give to outgoing connections."""
+    while True:
+        port = secrets.choice(PORTS)
+        with contextlib.suppress(OSError), socket.create_server((LOOPBACK, port)):
+            return port
 
 
 class Node:
