Cases end what they have started when they are ended or take too long

Cause: a case that was ended by a signal left its nodes running.

Change: SIGTERM, SIGINT and an alarm after 110 s end a case with exit code 2.

--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import signal
 import sys
 from collections.abc import Callable
 from pathlib import Path
@@ -13,6 +14,11 @@
 HELD = 0
 BROKEN = 1
 COULD_NOT_RUN = 2
+TIME_LIMIT = 110  # seconds, after which a case ends all that it has started
+
+
+def _stop(number: int, _frame: object) -> None:
+    raise CannotRunError(f"ended by {signal.Signals(number).name}")
 
 
 def run_case(folder: Path, play: Callable[[Record, bool], list[str]]) -> int:
@@ -21,6 +27,9 @@
     `play` gets the record and whether to cause the disruption, and returns how the rule was broken. It raises
     CannotRunError if the situation of the case did not arise.
     """
+    for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, _stop)
+    signal.alarm(TIME_LIMIT)
     record = Record(folder / "record.txt")
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
