--- a/review/1/case.py
+++ b/review/1/case.py
@@ -53,13 +53,15 @@
 
 
 def restart(record: Record, node: Node) -> None:
-    """Send SIGTERM, and SIGKILL when the platform may send it."""
+    """Send SIGTERM, and SIGKILL when the platform may send it; then start the node again."""
     time.sleep(BEFORE_SIGTERM)
     if not record.find("received"):
         raise CannotRunError("no request had reached a stream host when the node was told to end")
     node.signal(signal.SIGTERM)
     if node.wait(COUNTED_DEADLINE + KILL_MARGIN + LATE_KILL) is None:
         node.signal(signal.SIGKILL)
+        node.wait(COUNTED_DEADLINE)
+    node.start()
 
 
 def broken_rules(record: Record) -> list[str]:
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -24,7 +24,7 @@
 DEADLINE = 3.0
 WINDOW = 0.8  # seconds for which stream hosts know a request that they have received
 CONNECT_TIMEOUT = 1.5  # seconds, of the settings
-RESET_AFTER = 0.3  # seconds from a first line to the reset
+RESET_AFTER = 0.2  # seconds from a first line to the disruption; the reset comes about 0.1 s later
 LATE_BY = 0.9  # seconds for which connections don't come up; the system's next try is 1 s after the first
 ALLOWED_LATENESS = 0.2  # 50 ms by the protocol page, 150 ms for a node that is held up
 ORDINARY_REQUESTS = 8  # of the other class, before the disruption: one connection of ten comes up late
@@ -82,7 +82,7 @@
         received = record.find("received", id=sent.fields["id"])
         runs = len(record.find("executed", id=sent.fields["id"]))
         for repeat in received[1:]:
-            age = repeat.at - received[0].at
+            age = float(repeat.fields["arrived"]) - received[0].at
             if age > WINDOW + ALLOWED_LATENESS:
                 faults.append(
                     f"{repeat.actor} received the request that {received[0].actor} had received {age:.3f} s "
@@ -117,6 +117,8 @@
         connection.close()
         if has_trouble and not record.find("reset"):
             raise CannotRunError("no stream host received the request")
+        if has_trouble and not any(host.are_connections_late for host in hosts):
+            raise CannotRunError("the system doesn't delay connections to a host whose queue is full")
         return broken_rules(record)
 
 
--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -14,10 +14,13 @@
 HELD = 0
 BROKEN = 1
 COULD_NOT_RUN = 2
-TIME_LIMIT = 110  # seconds, after which a case ends all that it has started
+STOPPING_SIGNALS = (signal.SIGALRM, signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+TIME_LIMIT = 100  # seconds, after which a case ends all that it has started
 
 
 def _stop(number: int, _frame: object) -> None:
+    for later in STOPPING_SIGNALS:  # a second one must not cut off the end of what was started
+        signal.signal(later, signal.SIG_IGN)
     raise CannotRunError(f"ended by {signal.Signals(number).name}")
 
 
@@ -27,16 +30,19 @@
     `play` gets the record and whether to cause the disruption, and returns how the rule was broken. It raises
     CannotRunError if the situation of the case did not arise.
     """
-    for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
+    for number in STOPPING_SIGNALS:
         signal.signal(number, _stop)
     signal.alarm(TIME_LIMIT)
-    record = Record(folder / "record.txt")
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
-        faults = play(record, has_trouble)
-    except (CannotRunError, OSError) as error:
-        record.add("verdict", "could_not_run", why=error)
-        print(f"could not run: {error}", file=sys.stderr)
+        record = Record(folder / "record.txt")
+        try:
+            faults = play(record, has_trouble)
+        except Exception as error:
+            record.add("verdict", "could_not_run", why=repr(error))
+            raise
+    except Exception as error:  # noqa: BLE001 - Python's exit code for an exception is that of a broken rule
+        print(f"could not run: {error!r}", file=sys.stderr)
         return COULD_NOT_RUN
     for fault in faults:
         record.add("verdict", "broken", why=fault)
--- a/review/standins/host.py
+++ b/review/standins/host.py
@@ -12,11 +12,18 @@
 from standins.record import Record
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # `struct linger`: enabled, 0 s
+LAST_DATA_RECEIVED = struct.Struct("52xI")  # `tcpi_last_data_recv` of `struct tcp_info`, in milliseconds
 BACKLOG = 128
 OWN_TIMEOUT = 1.0  # seconds
 ACCEPT_TIME = 0.03  # seconds in which the thread that waits for a connection has accepted it
 
 
+def time_since_last_data(sock: socket.socket) -> float:
+    """Return how long ago the system received the last data, in seconds: a busy stand-in reads it later."""
+    info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED.size)
+    return float(LAST_DATA_RECEIVED.unpack(info)[0]) / 1000
+
+
 class StreamHost:
     """A stream host. Each connection is served by a thread of its own."""
 
@@ -29,6 +36,7 @@
         self._record = record
         self._may_accept = threading.Event()
         self._may_accept.set()
+        self.are_connections_late = False  # whether `delay_connections` had its effect
         self._listener = listen(backlog)
         self.address = address_of(self._listener)
         threading.Thread(target=self._accept, daemon=True).start()
@@ -49,6 +57,7 @@
         for _ in range(2):
             own.append(socket.create_connection(parse_address(self.address), OWN_TIMEOUT))
             time.sleep(ACCEPT_TIME)
+        self.are_connections_late = not self._is_open_at_once()
 
         def end() -> None:
             self._may_accept.set()
@@ -57,6 +66,14 @@
 
         threading.Timer(duration, end).start()
 
+    def _is_open_at_once(self) -> bool:
+        """Return whether one more connection comes up without delay."""
+        try:
+            socket.create_connection(parse_address(self.address), ACCEPT_TIME).close()
+        except TimeoutError:
+            return False
+        return True
+
     def _accept(self) -> None:
         with contextlib.suppress(OSError):
             while True:
@@ -69,8 +86,8 @@
         with sock, contextlib.suppress(OSError):
             reader = LineReader(sock)
             line = reader.read(None)
-            while line == b"PING":
-                sock.sendall(b"PONG\r\n")
+            while line in (b"PING", b"STATS"):
+                sock.sendall(b"NO\r\n")  # the settings of the cases permit no probes
                 line = reader.read(None)
             if line is None:
                 return
@@ -80,7 +97,12 @@
                 sock.sendall(b"SYNTAX\r\n")
                 return
             self._record.add(
-                self.host_id, "received", id=opening.connection_id, key=opening.key, d=opening.values["d"]
+                self.host_id,
+                "received",
+                id=opening.connection_id,
+                key=opening.key,
+                d=opening.values["d"],
+                arrived=f"{self._record.now - time_since_last_data(sock):.3f}",
             )
             self.serve_opening(sock, reader, opening)
 
