Send UP and BYE at once in the test of a partial line at SIGTERM

Cause: test_the_rest_of_a_partial_line_at_sigterm_is_waited_for failed once beside other load: the client got MOVE where the test expected BYE. Its stream host sent UP and BYE one after the other, and the drain, which is cut short for the test, may migrate the connection in between, as it should. The log of the failing run has ended_cancelled=1, so the drain ended it.

Change: the host sends both lines at once, so they reach the node in one read. What the test requires is the same: the client that finishes its line late gets UP and BYE.

--- a/tests/node/test_drain_crossings.py
+++ b/tests/node/test_drain_crossings.py
@@ -133,7 +133,11 @@
             expecting.set()
         return bool(found)
 
-    with running_node(tmp_path, ScriptedServer(answer_up(lambda peer: peer.send_lines("BYE")))) as node:
+    def serve_and_end(peer: Peer) -> None:
+        peer.read_line()
+        peer.send_lines("UP r1", "BYE")  # sent at once: between the two, the drain may migrate the client
+
+    with running_node(tmp_path, ScriptedServer(serve_and_end)) as node:
         client = node.connect()
         client.sock.sendall(b"OPEN 7e7")
         monkeypatch.setattr(ConnectionAcceptor, "may_receive_first_line", property(check))
