Log the counts of the last second before the process ends

Cause: after SIGTERM the log of a node ended with `drained established=0 pending=0`, whether the drain had rejected, failed or served the requests that waited. The counts of a second are logged by the first event of a later one, and there is none.

Change: the drain has the counts of the second in progress logged before `drained`. The event and its fields are the same.

The new test fails without the change.

--- a/tansyladder/node/client_listener.py
+++ b/tansyladder/node/client_listener.py
@@ -208,6 +208,7 @@
         self.drainer.evict_remaining(notified, end + CLOSE_TIMEOUT)
         self.stop_listening()
         remaining = self.drainer.remaining()
+        self._policy.flush_counts()
         log(LogEvent.DRAINED, established=remaining.established, pending=remaining.waiting)
 
     def _yield_or_reclaim_queue(self) -> None:
--- a/tansyladder/node/event_counters.py
+++ b/tansyladder/node/event_counters.py
@@ -100,8 +100,14 @@
         """Return the counts of the second in progress, if it is over and anything was counted in it."""
         second = self._current_second
         self._current_second = now_us // MICROSECONDS_PER_SECOND
-        if second == self._current_second:
-            return None
+        return None if second == self._current_second else self._take_counts(second)
+
+    def finish(self) -> SecondCounts | None:
+        """Return the counts of the second in progress although it is not over, if anything was counted."""
+        return self._take_counts(self._current_second)
+
+    def _take_counts(self, second: int) -> SecondCounts | None:
+        """Return the counts since the last line, as those of a second, and reset them."""
         self._count_outcomes()
         if not any(self._counts.values()):
             return None
--- a/tansyladder/node/policy_runner.py
+++ b/tansyladder/node/policy_runner.py
@@ -111,6 +111,10 @@
         """Wake the threads that wait for actions, and write the log lines; called without the lock."""
         for action_queue in queues_to_wake:
             action_queue.wake()
+        self._log_counts()
+
+    def _log_counts(self) -> None:
+        """Write the log lines of finished seconds; called without the lock."""
         while self._unlogged_counts:
             with contextlib.suppress(IndexError):  # another thread has just taken the last one
                 timestamp, counts, endpoints = self._unlogged_counts.popleft()
@@ -175,6 +179,13 @@
         with self._lock:
             self._event_counters.count_discovery_call(has_failed=failed)
 
+    def flush_counts(self) -> None:
+        """Log the counts of the second in progress: the process ends before another event could."""
+        with self._lock:
+            if counts := self._event_counters.finish():
+                self._unlogged_counts.append(counts)
+        self._log_counts()
+
     # --- requests
 
     def register_request(self, action_queue: ActionQueue) -> int:
--- a/tests/node/test_drain_crossings.py
+++ b/tests/node/test_drain_crossings.py
@@ -194,6 +194,23 @@
         assert client.read_line().startswith("BUSY")
 
 
+def test_the_counts_of_the_last_second_are_logged_before_the_process_ends(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Without them the log does not show how the drain answered the requests that still waited."""
+    for name in ("LATE_ARRIVAL_WINDOW", "LONGEST_REQUEST_WAIT"):
+        monkeypatch.setattr(connection_drainer, name, timedelta(0))
+    monkeypatch.setattr(connection_drainer, "KILL_MARGIN", connection_drainer.EXIT_MARGIN)
+    with running_node(tmp_path, ScriptedServer(read_until_closed)) as node:
+        client = node.open("c=chat,d=9000")
+        node.runner.wait_for(RequestReceived)
+        wait_until_drained(start_drain(node))
+        assert client.read_line().startswith("BUSY")
+        before_end, _, _ = capsys.readouterr().err.partition("event=drained ")
+    counts = [line for line in before_end.splitlines() if line.startswith("event=counts ")]
+    assert sum("rejected=1" in line.split() for line in counts) == 1
+
+
 def test_out_of_threads_a_client_is_rejected_at_admission(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
