Let the policy answer the requests that wait when a node ends

What callers saw: a node answered BUSY, "trying again is harmless", to every request that waited 3.3 s after SIGTERM or 3.4 s after standby, although stream hosts had received and were executing them.

Cause: ConnectionDrainer.evict_remaining posted Reject to each waiting request itself, without retry_safety.may_client_repeat. AttemptLoop took it before the policy's answer.

Evidence: the counts of the last second show cancelled=6 rejected=6, no decision_overdue and no rejection before the drain's last phase. AttemptLoop's own BUSY for decision_overdue has the same cause and was shown by a test.

Change: the drain passes RequestEvicted to the policy, which answers at once if no attempt is in flight, and else cancels the attempt; its end tells whether the line was sent (NOT_ATTEMPTED or CANCELLED), and FinalAnswers.reject answers by the rule for all other requests. The answer to decision_overdue is ERR. A CancelAttempt stays in the queue until the request's thread takes it.

Why it works: no BUSY is made outside FinalAnswers any more for a request of the policy, and it is made only after the attempt has ended, so the record of what may have run is complete.

--- a/tansyladder/net/action_queue.py
+++ b/tansyladder/net/action_queue.py
@@ -66,9 +66,7 @@
         """Remove and return the next action, if there is one."""
         with self._lock:
             if self._event >= 0:
-                # Reset it even if there is no action: otherwise a late wake would make the poll spin.
-                with contextlib.suppress(BlockingIOError):
-                    os.eventfd_read(self._event)
+                self._reset_event()  # even if there is no action: a late wake would make the poll spin
                 if len(self._actions) > 1:
                     os.eventfd_write(self._event, 1)
             return self._actions.popleft() if self._actions else None
@@ -77,6 +75,12 @@
         """Return the next action without removing it, if there is one."""
         return self._actions[0] if self._actions else None
 
+    def clear_wake(self) -> None:
+        """Reset the descriptor; the actions remain in the queue. Call it before `peek`, not after."""
+        with self._lock:
+            if self._event >= 0:
+                self._reset_event()
+
     def add_client(self, client: ResumingClient) -> None:
         """Append a client that resumes this session, and wake the session's thread."""
         self._clients.append(client)
@@ -127,6 +131,10 @@
             self._close_event()
             self._callback = None
 
+    def _reset_event(self) -> None:
+        with contextlib.suppress(BlockingIOError):
+            os.eventfd_read(self._event)
+
     def _close_event(self) -> None:
         if self._event >= 0:
             os.close(self._event)
--- a/tansyladder/net/upstream.py
+++ b/tansyladder/net/upstream.py
@@ -16,7 +16,7 @@
 from tansyladder.net.clock import now
 from tansyladder.net.endpoint_address import EndpointAddress
 from tansyladder.net.sockets import PeekResult
-from tansyladder.policy.actions import CancelAttempt, Reject
+from tansyladder.policy.actions import CancelAttempt
 from tansyladder.policy.events import AttemptEnded, AttemptStatus
 
 # The status of an attempt by the keyword of an answer that is not UP; other keywords mean ERROR.
@@ -137,7 +137,11 @@
         sock: socket.socket | None = None
         try:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)  # fails if no descriptor is free
-            result = self._wait_until_connected(sock, deadline, client, actions) or _result_of_client(client)
+            result = (
+                self._wait_until_connected(sock, deadline, client, actions)
+                or _result_of_client(client)
+                or _result_of_cancellation(actions)
+            )
             if result is None:
                 sockets.configure_stream(sock)
                 sock.sendall(self._format_first_line(self._deadline - now()))
@@ -167,8 +171,9 @@
         while not (ready := sockets.wait_connected(sock, deadline, *watched)) & {sock.fileno()}:
             if result := _result_of_client(client):
                 return result
-            if _is_ended_by_policy(actions, ready):
-                return ConnectResult(AttemptStatus.CANCELLED)
+            _clear_wake(actions, ready)
+            if result := _result_of_cancellation(actions):
+                return result
             if not ready and now() >= deadline:
                 raise TimeoutError("the connect timed out")
         _raise_os_error(sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
@@ -182,15 +187,15 @@
         watched = [sock.fileno(), actions.fileno()] + ([client.fileno()] if client else [])
         while True:
             ready = sockets.wait_readable(self._deadline, *watched)
+            _clear_wake(actions, ready)
             # Checked before the answer is read: a client that sent a line before UP must not be served.
             if client and client.fileno() in ready and (result := _result_of_client(client)):
                 return result
             if sock.fileno() in ready:
                 if result := self._read_response(sock, buffer, lines):
                     return result
-            elif actions.fileno() in ready:
-                if _is_ended_by_policy(actions, ready):
-                    return ConnectResult(AttemptStatus.CANCELLED)
+            elif _is_cancelled(actions):
+                return ConnectResult(AttemptStatus.CANCELLED)
             elif not ready and now() >= self._deadline:
                 return ConnectResult(AttemptStatus.TIMEOUT)
 
@@ -228,15 +233,23 @@
         raise OSError(code, os.strerror(code))
 
 
-def _is_ended_by_policy(actions: ActionQueue, ready: set[int]) -> bool:
-    """Return whether the policy ends the attempt; discard any other action if the queue is ready.
+def _clear_wake(actions: ActionQueue, ready: set[int]) -> None:
+    """Reset the queue's descriptor if it is ready, so that the next wait doesn't return because of it."""
+    if actions.fileno() in ready:
+        actions.clear_wake()
+
 
-    A rejection ends the attempt and the request. It remains in the queue, where the request's thread takes it
-    to answer the client.
+def _is_cancelled(actions: ActionQueue) -> bool:
+    """Return whether the policy has cancelled the attempt.
+
+    The cancellation remains in the queue: the request's thread must take it before it makes another attempt.
     """
-    if isinstance(actions.peek(), Reject):
-        return True
-    return actions.fileno() in ready and isinstance(actions.take(), CancelAttempt)
+    return isinstance(actions.peek(), CancelAttempt)
+
+
+def _result_of_cancellation(actions: ActionQueue) -> ConnectResult | None:
+    """Return the result of an attempt that is cancelled before its line is sent, or None if it is not."""
+    return ConnectResult(AttemptStatus.NOT_ATTEMPTED) if _is_cancelled(actions) else None
 
 
 def _result_of_client(client: socket.socket | None) -> ConnectResult | None:
--- a/tansyladder/node/attempt_loop.py
+++ b/tansyladder/node/attempt_loop.py
@@ -60,10 +60,10 @@
                     if outcome is not None:
                         return outcome
                     attempt += 1
-                case Reject() | ClientEnd():  # the policy does not know of a drain's Reject
-                    self.context.policy.handle_events(ClientDisconnected(self.request_id))
+                case Reject() | Fail():
                     return action
-                case Fail():
+                case ClientEnd():
+                    self.context.policy.handle_events(ClientDisconnected(self.request_id))
                     return action
                 case CancelAttempt() | Migrate():
                     pass  # the attempt has ended already, or no connection is established yet
@@ -132,7 +132,8 @@
                 return client_end
             if not ready and now() >= deadline:
                 violate_invariant(Invariant.DECISION_OVERDUE)
-                return Reject(self.request_id, 0)
+                self.context.policy.handle_events(ClientDisconnected(self.request_id))
+                return Fail(self.request_id)  # an earlier attempt may have been executed
 
     def _check_client(self, ready: set[int]) -> ClientEnd | None:
         """Return how the client ended its request, if it did; an action in the queue takes precedence."""
--- a/tansyladder/node/connection_drainer.py
+++ b/tansyladder/node/connection_drainer.py
@@ -1,4 +1,4 @@
-"""Drains a node: migrates established connections and rejects waiting requests, each one once."""
+"""Drains a node: migrates established connections, and has the policy end the requests that still wait."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 from tansyladder.log import LogEvent, log
 from tansyladder.net.clock import now
 from tansyladder.node.context import NodeContext
-from tansyladder.policy.actions import Migrate, Reject
+from tansyladder.policy.actions import Migrate
 
 LATE_ARRIVAL_WINDOW = timedelta(milliseconds=450)  # after SIGTERM new connections arrive for up to 0.4 s
 LONGEST_REQUEST_WAIT = timedelta(seconds=3)  # a shutdown waits no longer, whatever the deadlines are
@@ -31,7 +31,7 @@
 
 
 class ConnectionDrainer:
-    """Migrates connections and rejects requests. Thread-safe: it has no mutable state."""
+    """Migrates connections and ends requests. Thread-safe: it has no mutable state."""
 
     def __init__(self, context: NodeContext, active_count: Callable[[], int]) -> None:
         """`active_count`: returns how many connections are served."""
@@ -79,20 +79,18 @@
             self._policy.dispatch([Migrate(request_id) for request_id in migrated])
 
     def evict_remaining(self, notified: set[int], deadline: timedelta) -> None:
-        """Reject waiting and migrate established requests, until all have ended or the deadline has passed.
+        """End waiting and migrate established requests, until all have ended or the deadline has passed.
 
-        Each request is notified once: if its connection is established before it handles a rejection, the
-        rejection acts as a migration. A request that has just been admitted may not be registered yet, so
-        the requests are checked repeatedly.
+        The policy decides how a waiting request is answered: if an endpoint may have executed it, its client
+        must not get a rejection, which asks for a repetition. A request that has just been admitted may not
+        be registered yet, and one whose attempt is cancelled may still be established, so the requests are
+        checked repeatedly.
         """
         while True:
-            waiting = _exclude_notified(notified, self._policy.waiting_request_ids())
-            notified.update(waiting)
+            self._policy.evict_waiting_requests()
             established = _exclude_notified(notified, self._policy.established_request_ids())
             notified.update(established)
-            rejections = [Reject(request_id) for request_id in waiting]
-            migrations = [Migrate(request_id) for request_id in established]
-            self._policy.dispatch([*rejections, *migrations])
+            self._policy.dispatch([Migrate(request_id) for request_id in established])
             if not self._active_count() or now() >= deadline:
                 return
             threading.Event().wait(DRAIN_STEP_INTERVAL.total_seconds())
--- a/tansyladder/node/existing_connections.py
+++ b/tansyladder/node/existing_connections.py
@@ -20,7 +20,7 @@
 from tansyladder.node.connection_handler import RETRY_AFTER, ConnectionHandler
 from tansyladder.node.context import ConnectionServices
 from tansyladder.node.metrics import RequestOutcome
-from tansyladder.policy.actions import Reject
+from tansyladder.policy.actions import CancelAttempt
 from tansyladder.policy.events import AttemptStatus, ConnectionAdopted
 
 RESTORE_RETRY_INTERVAL = timedelta(milliseconds=100)  # between two attempts to restore a connection
@@ -118,7 +118,7 @@
             self._answer(RequestOutcome.REJECTED, format_reject(RETRY_AFTER))
 
     def _connect(self, endpoint: EndpointAddress) -> ConnectResult:
-        """Make attempts until one succeeds, the deadline is near, the client leaves or a drain rejects it."""
+        """Make attempts until one succeeds, the deadline is near, the client leaves or a drain cancels it."""
         while True:
             connector = UpstreamConnector(
                 endpoint,
@@ -134,7 +134,7 @@
             if retry_at >= self._deadline:
                 return result
             sockets.wait_readable(retry_at, self._action_queue.fileno())
-            if isinstance(self._action_queue.peek(), Reject):
+            if isinstance(self._action_queue.peek(), CancelAttempt):
                 return result
 
     def _record_attempt(self) -> None:
--- a/tansyladder/node/policy_runner.py
+++ b/tansyladder/node/policy_runner.py
@@ -42,6 +42,7 @@
     EndpointListUpdate,
     Event,
     ListUpdateKind,
+    RequestEvicted,
 )
 
 
@@ -222,6 +223,17 @@
         with self._lock:
             return [number for number, queue in self._action_queues.items() if not queue.is_established]
 
+    def evict_waiting_requests(self) -> None:
+        """Have the policy end the requests that wait for a connection: the node can't wait any longer."""
+        with self._lock:
+            waiting = [
+                RequestEvicted(number)
+                for number, queue in self._action_queues.items()
+                if not queue.is_established
+            ]
+            queues_to_wake = self._handle_events_locked(waiting)
+        self._wake_and_log(queues_to_wake)
+
     def endpoint(self, number: int) -> EndpointAddress:
         """Return the endpoint with a number of the policy."""
         with self._lock:
--- a/tansyladder/policy/balancer.py
+++ b/tansyladder/policy/balancer.py
@@ -64,6 +64,7 @@
         event_types.AttemptEstablished: components.lifecycle.handle_attempt_established,
         event_types.AttemptEnded: components.lifecycle.handle_attempt_ended,
         event_types.ClientDisconnected: components.lifecycle.handle_client_disconnected,
+        event_types.RequestEvicted: components.evictor.handle_request_evicted,
         event_types.ConnectionAdopted: components.lifecycle.handle_connection_adopted,
         event_types.ConnectionReport: components.reports.handle_connection_report,
         event_types.HealthCheckResult: components.reports.handle_health_check_result,
--- a/tansyladder/policy/components.py
+++ b/tansyladder/policy/components.py
@@ -35,6 +35,7 @@
 from tansyladder.policy.pool_load import PoolLoad
 from tansyladder.policy.previous_endpoint import PreviousEndpointFinder
 from tansyladder.policy.request_arrival import RequestArrivalHandler
+from tansyladder.policy.request_eviction import RequestEvictor
 from tansyladder.policy.request_lifecycle import RequestLifecycle
 from tansyladder.policy.request_table import RequestTable
 from tansyladder.policy.retries import RetryScheduler
@@ -78,6 +79,7 @@
         self.attempt_starter = self._build_attempt_starter()
         self.arrivals = self._build_arrival_handler()
         self.lifecycle = self._build_lifecycle()
+        self.evictor = RequestEvictor(self.actions, self.requests, self.answers)
         self.reports = EndpointReportHandler(
             self.requests, self.endpoints, self.attempt_starter, self.outliers
         )
--- a/tansyladder/policy/events.py
+++ b/tansyladder/policy/events.py
@@ -38,7 +38,7 @@
     CONNECT_FAILED = 4  # no connection to the endpoint
     RESET = 5  # the connection to the endpoint broke
     CANCELLED = 6  # ended on purpose, by the node, the client or the endpoint
-    NOT_ATTEMPTED = 7  # the caller did not make the attempt
+    NOT_ATTEMPTED = 7  # the caller did not make the attempt, or ended it before the request was sent
 
     @property
     def proves_not_executed(self) -> bool:
@@ -142,6 +142,12 @@
     request_id: int
 
 
+class RequestEvicted(NamedTuple):
+    """The node ends soon: the request must get its final answer now, or be migrated if it is established."""
+
+    request_id: int
+
+
 class TimerExpired(NamedTuple):
     """A timer set by `SetTimer` has expired."""
 
@@ -173,6 +179,7 @@
     ConnectionReport,
     AttemptEnded,
     ClientDisconnected,
+    RequestEvicted,
     TimerExpired,
     HealthCheckResult,
     PeerMessage,
--- a/tansyladder/policy/request_lifecycle.py
+++ b/tansyladder/policy/request_lifecycle.py
@@ -5,6 +5,7 @@
 - An attempt that ended without a connection is retried if its client still waits. A timeout or an error
   raises the set-up failure rate, as a cause that endpoints share leads to these.
 - A connection that ends is not retried: its client reconnects with a new request.
+- A request that was evicted (`request_eviction`) gets its final answer when its attempt has ended.
 
 A node learns about a client only through events: if a client leaves without one, its request is retried
 until the deadline.
@@ -77,7 +78,10 @@
         self._retries.handle_connection_established(request)
 
     def handle_attempt_ended(self, event: AttemptEnded) -> None:
-        """Evaluate the endpoint, and retry the request unless it had a connection or its client left."""
+        """Evaluate the endpoint; retry a request that had no connection, or give its final answer.
+
+        Neither is done if the request is over or its client left.
+        """
         endpoint = self._endpoints.by_id.get(event.endpoint_id)
         if endpoint:
             self._outliers.evaluate_attempt_end(endpoint, event.status, event.load_report)
@@ -85,13 +89,14 @@
         if request is None:
             return
         is_finished = event.is_request_over or request.is_closed
+        is_evicted = request.is_evicted
         self._detach(request)
         if is_finished:
             self._requests.remove(request)
             return
         if event.status in SETUP_FAILURE_STATUSES:
             self._setup_failures.record_failure()
-        self._retries.handle_failed_attempt(request, endpoint, event)
+        self._retries.handle_failed_attempt(request, endpoint, event, is_evicted=is_evicted)
 
     def _detach(self, request: Request) -> None:
         """Remove the attempt or the connection of a request from its endpoint and its tenant's count."""
--- a/tansyladder/policy/requests.py
+++ b/tansyladder/policy/requests.py
@@ -13,6 +13,7 @@
     ESTABLISHED_STATES,
     STATE_WHEN_CLOSED,
     STATE_WHEN_ESTABLISHED,
+    STATE_WHEN_EVICTED,
     RequestState,
 )
 
@@ -73,6 +74,11 @@
         """Whether it is removed when its attempt or its connection ends, instead of retried."""
         return self.state in CLOSED_STATES
 
+    @property
+    def is_evicted(self) -> bool:
+        """Whether it gets its final answer when its cancelled attempt ends, instead of being retried."""
+        return self.state is RequestState.EVICTED
+
     def start_attempt(self, endpoint: Endpoint) -> None:
         """Record that an attempt is in flight at an endpoint."""
         self.endpoint = endpoint
@@ -98,6 +104,10 @@
         """Record that its client left or was asked to reconnect."""
         self.state = STATE_WHEN_CLOSED[self.state]
 
+    def evict(self) -> None:
+        """Record that its attempt in flight was cancelled, as the node can't wait for it any longer."""
+        self.state = STATE_WHEN_EVICTED[self.state]
+
     def record_possible_execution(self, endpoint: Endpoint | None, started_at: int) -> None:
         """Record that an attempt may have been executed; only the first such attempt counts."""
         if self.may_have_executed_on is None:
--- a/tansyladder/policy/retries.py
+++ b/tansyladder/policy/retries.py
@@ -4,7 +4,8 @@
 
 - the retry would start less than one slot (latency objective / `SLOTS_PER_OBJECTIVE`) before its deadline,
 - the request has used up its attempts,
-- the caller did not make the latest attempt (`AttemptStatus.NOT_ATTEMPTED`), or
+- the caller did not make the latest attempt (`AttemptStatus.NOT_ATTEMPTED`),
+- its node evicts it, or
 - no further attempt is safe, as an earlier one may have been executed (`retry_safety`).
 
 Whether an endpoint will have capacity when the retry is due is not known.
@@ -46,12 +47,14 @@
         self._answers = answers
         self._start_attempt = start_attempt
 
-    def handle_failed_attempt(self, request: Request, endpoint: Endpoint | None, event: AttemptEnded) -> None:
+    def handle_failed_attempt(
+        self, request: Request, endpoint: Endpoint | None, event: AttemptEnded, *, is_evicted: bool
+    ) -> None:
         """Schedule a retry after an attempt that ended without a connection, or give the final answer."""
         request.last_failed_endpoint = endpoint
         if not event.status.proves_not_executed:
             request.record_possible_execution(endpoint, self._clock.now - event.latency_us)
-        if event.status is AttemptStatus.NOT_ATTEMPTED:
+        if is_evicted or event.status is AttemptStatus.NOT_ATTEMPTED:
             self._answers.reject(request, NO_RETRY_AFTER_US)
         else:
             self.handle_setup_failure(request)
