Let a hold-up of the tests' process evict no client in the test of many pending clients

The test connects 60 clients and needs all of them within 50 ms: the table holds 42, and the oldest may be evicted once it has been silent for 50 ms.

Change: the time after which a client counts as silent is 10 s during the test, and the test checks that it is at least 50 ms in production, which it required before by its own speed.

--- a/tests/node/test_admission.py
+++ b/tests/node/test_admission.py
@@ -8,11 +8,13 @@
 import socket
 import threading
 import time
+from datetime import timedelta
 from pathlib import Path
 from typing import Any
 
 import pytest
 
+from tansyladder.node import pending_connections
 from tansyladder.node.connection_acceptor import ConnectionAcceptor
 from tansyladder.policy.events import AttemptEnded
 from tests.node.harness import (
@@ -198,8 +200,15 @@
         assert node.listener.pending_count <= 256 // 6
 
 
-def test_many_clients_that_connect_before_they_send_are_served(tmp_path: Path) -> None:
-    """The first clients must not count as silent within milliseconds and be evicted for later ones."""
+def test_many_clients_that_connect_before_they_send_are_served(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The first clients must not count as silent within milliseconds and be evicted for later ones.
+
+    During the test they don't for longer, as this process may be held up while it connects the clients.
+    """
+    assert pending_connections.MIN_SILENCE >= timedelta(milliseconds=50)
+    monkeypatch.setattr(pending_connections, "MIN_SILENCE", timedelta(seconds=10))
     with running_node(tmp_path, ScriptedServer(answer_up(Peer.read_line)), limits=SMALL_LIMITS) as node:
         clients = [node.connect() for _ in range(60)]
         for client in clients:
