Let retry safety take the time of the first attempt, so that not only requests can ask it

Change: may_execute_again, may_be_rejected and send_deadline take the settings of the class and the time of the first attempt that may have been executed. No decision changes.

--- a/tansyladder/net/upstream.py
+++ b/tansyladder/net/upstream.py
@@ -184,7 +184,7 @@
         return ConnectResult(AttemptStatus.NOT_ATTEMPTED) if self._limits.is_too_late else None
 
     def _status_if_not_connected(self) -> AttemptStatus:
-        """Return the status of an attempt without a connection, for which a limit is no failure of its endpoint."""
+        """Return the status of an attempt without a connection; a limit is no failure of the endpoint."""
         return AttemptStatus.NOT_ATTEMPTED if self._limits.is_too_late else AttemptStatus.CONNECT_FAILED
 
     def _wait_until_connected(
--- a/tansyladder/policy/attempt_sending.py
+++ b/tansyladder/policy/attempt_sending.py
@@ -27,7 +27,7 @@
 from tansyladder.policy.events import EndpointState
 from tansyladder.policy.pool_load import PoolLoad
 from tansyladder.policy.requests import Request
-from tansyladder.policy.retry_safety import latest_send_time
+from tansyladder.policy.retry_safety import send_deadline
 from tansyladder.policy.setup_failures import SetupFailureRate
 from tansyladder.policy.slow_start import SlowStart
 
@@ -85,7 +85,7 @@
         """Start an attempt at an endpoint, and add the expected load to the endpoint and its pool."""
         settings = self._active_settings.settings
         timeout_us = self._timeouts.timeout_us(request)
-        send_by_us = latest_send_time(request, settings.classes[request.class_index])
+        send_by_us = send_deadline(settings.classes[request.class_index], request.first_sent_at)
         self._slow_start.use_permit(endpoint)
         is_home = endpoint.zone == settings.zone
         pool = self._endpoints.home_zone if is_home else self._endpoints.other_zones
--- a/tansyladder/policy/final_answers.py
+++ b/tansyladder/policy/final_answers.py
@@ -13,7 +13,7 @@
 from tansyladder.policy.clock import Clock
 from tansyladder.policy.request_table import RequestTable
 from tansyladder.policy.requests import Request
-from tansyladder.policy.retry_safety import may_client_repeat
+from tansyladder.policy.retry_safety import may_be_rejected
 
 NO_RETRY_AFTER_US = 0  # a rejection without a Retry-After
 
@@ -32,7 +32,8 @@
     def reject(self, request: Request, retry_after_us: int) -> None:
         """Reject a request if its client may safely repeat it, else fail it; then remove it."""
         settings = self._active_settings.settings
-        if may_client_repeat(request, settings.classes[request.class_index], self._clock.now):
+        class_settings = settings.classes[request.class_index]
+        if may_be_rejected(class_settings, request.first_sent_at, self._clock.now):
             wait_us = max(NO_RETRY_AFTER_US, min(retry_after_us, settings.max_retry_after_us))
             self._actions.emit(
                 Reject(request.id, wait_us if settings.can_send_retry_after else NO_RETRY_AFTER_US)
--- a/tansyladder/policy/requests.py
+++ b/tansyladder/policy/requests.py
@@ -74,6 +74,11 @@
         """Whether it is removed when its attempt or its connection ends, instead of retried."""
         return self.state in CLOSED_STATES
 
+    @property
+    def first_sent_at(self) -> int | None:
+        """When the first attempt that may have been executed was started; None if there is none."""
+        return None if self.may_have_executed_on is None else self.may_have_executed_at
+
     @property
     def is_evicted(self) -> bool:
         """Whether it gets its final answer when its cancelled attempt ends, instead of being retried."""
--- a/tansyladder/policy/retries.py
+++ b/tansyladder/policy/retries.py
@@ -23,7 +23,7 @@
 from tansyladder.policy.final_answers import NO_RETRY_AFTER_US, FinalAnswers
 from tansyladder.policy.key_backoffs import SLOTS_PER_OBJECTIVE, KeyBackoffs
 from tansyladder.policy.requests import Request
-from tansyladder.policy.retry_safety import may_execute_anywhere
+from tansyladder.policy.retry_safety import may_execute_again
 from tansyladder.policy.timers import TimerScheduler
 
 
@@ -81,4 +81,8 @@
         class_settings = settings.classes[request.class_index]
         is_in_time = retry_at + class_settings.latency_objective_us // SLOTS_PER_OBJECTIVE <= request.deadline
         has_attempts_left = request.attempt_count < settings.max_attempts
-        return is_in_time and has_attempts_left and may_execute_anywhere(request, class_settings, retry_at)
+        return (
+            is_in_time
+            and has_attempts_left
+            and may_execute_again(class_settings, request.first_sent_at, retry_at)
+        )
--- a/tansyladder/policy/retry_safety.py
+++ b/tansyladder/policy/retry_safety.py
@@ -9,7 +9,7 @@
 - none: no further attempt is safe once one may have been executed.
 
 The window ends at a fixed time, so it is not enough to check it when an attempt is assigned: the attempt must
-also be sent before that time (`latest_send_time`).
+also be sent before that time (`send_deadline`).
 
 A rejection asks the client to repeat its request, at any endpoint. For requests with an idempotency key it is
 therefore safe only if all endpoints share their keys, and only within the window. When the client repeats it
@@ -23,47 +23,47 @@
 from tansyladder.policy.settings import ClassSettings, DeduplicationScope, Idempotency
 
 
-def may_execute_on(request: Request, endpoint: Endpoint, class_settings: ClassSettings, now: int) -> bool:
-    """Return whether an attempt at an endpoint cannot have a second effect."""
-    first_endpoint = request.may_have_executed_on
-    if first_endpoint is None or class_settings.idempotency is Idempotency.IDEMPOTENT:
+def may_execute_again(class_settings: ClassSettings, first_sent_at: int | None, at: int) -> bool:
+    """Return whether a further attempt is safe at a time, at an endpoint within the deduplication scope.
+
+    Args:
+        class_settings: The settings of the request's class.
+        first_sent_at: When the first attempt that may have been executed was started; None if there is none.
+        at: When the further attempt is to be sent.
+    """
+    if first_sent_at is None or class_settings.idempotency is Idempotency.IDEMPOTENT:
         return True
-    if not may_execute_anywhere(request, class_settings, now):
+    if class_settings.idempotency is Idempotency.NONE:
         return False
-    return _is_in_scope(endpoint, first_endpoint, class_settings.deduplication_scope)
-
-
-def _is_in_scope(endpoint: Endpoint, first_endpoint: Endpoint, scope: DeduplicationScope) -> bool:
-    """Return whether an endpoint knows the idempotency keys that `first_endpoint` has seen."""
-    if scope is DeduplicationScope.CELL:
-        return endpoint.cell == first_endpoint.cell
-    return scope is DeduplicationScope.ALL or endpoint.zone == first_endpoint.zone
+    return at < first_sent_at + class_settings.deduplication_window_us
 
 
-def may_execute_anywhere(request: Request, class_settings: ClassSettings, at: int) -> bool:
-    """Return whether there can be an endpoint at which a further attempt is safe at a time."""
-    if request.may_have_executed_on is None or class_settings.idempotency is Idempotency.IDEMPOTENT:
+def may_be_rejected(class_settings: ClassSettings, first_sent_at: int | None, now: int) -> bool:
+    """Return whether a client may safely repeat its request at any endpoint, so that it may be rejected."""
+    if first_sent_at is None or class_settings.idempotency is Idempotency.IDEMPOTENT:
         return True
-    if class_settings.idempotency is Idempotency.NONE:
-        return False
-    return at < _window_end(request, class_settings)
+    is_known_everywhere = class_settings.deduplication_scope is DeduplicationScope.ALL
+    return is_known_everywhere and may_execute_again(class_settings, first_sent_at, now)
 
 
-def latest_send_time(request: Request, class_settings: ClassSettings) -> int | None:
+def send_deadline(class_settings: ClassSettings, first_sent_at: int | None) -> int | None:
     """Return the time before which an attempt that is safe now must be sent; None if it stays safe."""
-    if request.may_have_executed_on is None or class_settings.idempotency is Idempotency.IDEMPOTENT:
+    if first_sent_at is None or class_settings.idempotency is Idempotency.IDEMPOTENT:
         return None
-    return _window_end(request, class_settings)
+    return first_sent_at + class_settings.deduplication_window_us
 
 
-def _window_end(request: Request, class_settings: ClassSettings) -> int:
-    """Return the end of the deduplication window of a request that may have been executed."""
-    return request.may_have_executed_at + class_settings.deduplication_window_us
+def may_execute_on(request: Request, endpoint: Endpoint, class_settings: ClassSettings, now: int) -> bool:
+    """Return whether an attempt at an endpoint cannot have a second effect."""
+    first_endpoint = request.may_have_executed_on
+    if first_endpoint is None or class_settings.idempotency is Idempotency.IDEMPOTENT:
+        return True
+    is_safe_in_scope = may_execute_again(class_settings, request.first_sent_at, now)
+    return is_safe_in_scope and _is_in_scope(endpoint, first_endpoint, class_settings.deduplication_scope)
 
 
-def may_client_repeat(request: Request, class_settings: ClassSettings, now: int) -> bool:
-    """Return whether the client may safely repeat the request, so that it may be rejected."""
-    if request.may_have_executed_on is None or class_settings.idempotency is Idempotency.IDEMPOTENT:
-        return True
-    is_known_everywhere = class_settings.deduplication_scope is DeduplicationScope.ALL
-    return is_known_everywhere and may_execute_anywhere(request, class_settings, now)
+def _is_in_scope(endpoint: Endpoint, first_endpoint: Endpoint, scope: DeduplicationScope) -> bool:
+    """Return whether an endpoint knows the idempotency keys that `first_endpoint` has seen."""
+    if scope is DeduplicationScope.CELL:
+        return endpoint.cell == first_endpoint.cell
+    return scope is DeduplicationScope.ALL or endpoint.zone == first_endpoint.zone
--- a/tests/policy/test_retry_safety.py
+++ b/tests/policy/test_retry_safety.py
@@ -13,7 +13,7 @@
 from tansyladder.policy.endpoints import Endpoint
 from tansyladder.policy.events import AttemptStatus, RequestReceived
 from tansyladder.policy.requests import Request
-from tansyladder.policy.retry_safety import may_client_repeat, may_execute_anywhere, may_execute_on
+from tansyladder.policy.retry_safety import may_be_rejected, may_execute_again, may_execute_on
 from tansyladder.policy.settings import ClassSettings, DeduplicationScope, Idempotency
 from tests.policy.harness import (
     DEADLINE,
@@ -98,8 +98,8 @@
 ) -> None:
     request = request_that_may_have_run()
     class_settings = make_class_settings(idempotency, scope)
-    assert may_execute_anywhere(request, class_settings, LAST_TIME_IN_WINDOW) is may_retry
-    assert may_client_repeat(request, class_settings, LAST_TIME_IN_WINDOW) is may_reject
+    assert may_execute_again(class_settings, request.first_sent_at, LAST_TIME_IN_WINDOW) is may_retry
+    assert may_be_rejected(class_settings, request.first_sent_at, LAST_TIME_IN_WINDOW) is may_reject
 
 
 @pytest.mark.parametrize("scope", DeduplicationScope)
@@ -107,8 +107,8 @@
     """The endpoints no longer know its key, wherever the repetition goes."""
     request = request_that_may_have_run()
     class_settings = make_class_settings(Idempotency.WITH_KEY, scope)
-    assert not may_execute_anywhere(request, class_settings, START_TIME + WINDOW_US)
-    assert not may_client_repeat(request, class_settings, START_TIME + WINDOW_US)
+    assert not may_execute_again(class_settings, request.first_sent_at, START_TIME + WINDOW_US)
+    assert not may_be_rejected(class_settings, request.first_sent_at, START_TIME + WINDOW_US)
 
 
 def keyed_driver(window_us: int, **changes: Any) -> BalancerDriver:
