Reject a keyed request only if its window is open when the Retry-After has passed

A request that may have been executed was rejected while its window was open, with a Retry-After that ended after it; a client that followed it had its request executed again.

Change: may_be_rejected is asked for the time at which the client repeats the request. Otherwise the request fails, as for a class whose endpoints don't share their keys.

Result: the new test fails without it for a Retry-After of two slots and a window of one (a trial with the time of the answer).

--- a/tansyladder/policy/final_answers.py
+++ b/tansyladder/policy/final_answers.py
@@ -33,11 +33,16 @@
         """Reject a request if its client may safely repeat it, else fail it; then remove it."""
         settings = self._active_settings.settings
         class_settings = settings.classes[request.class_index]
-        if may_be_rejected(class_settings, request.first_sent_at, self._clock.now):
-            wait_us = max(NO_RETRY_AFTER_US, min(retry_after_us, settings.max_retry_after_us))
-            self._actions.emit(
-                Reject(request.id, wait_us if settings.can_send_retry_after else NO_RETRY_AFTER_US)
-            )
+        wait_us = self._retry_after_us(retry_after_us)
+        if may_be_rejected(class_settings, request.first_sent_at, self._clock.now + wait_us):
+            self._actions.emit(Reject(request.id, wait_us))
         else:
             self._actions.emit(Fail(request.id))
         self._requests.remove(request)
+
+    def _retry_after_us(self, wanted_us: int) -> int:
+        """Return the Retry-After to send, within the limits of the settings."""
+        settings = self._active_settings.settings
+        if not settings.can_send_retry_after:
+            return NO_RETRY_AFTER_US
+        return max(NO_RETRY_AFTER_US, min(wanted_us, settings.max_retry_after_us))
--- a/tansyladder/policy/retry_safety.py
+++ b/tansyladder/policy/retry_safety.py
@@ -12,8 +12,8 @@
 also be sent before that time (`send_deadline`).
 
 A rejection asks the client to repeat its request, at any endpoint. For requests with an idempotency key it is
-therefore safe only if all endpoints share their keys, and only within the window. When the client repeats it
-is not known: it may do so after the window.
+therefore safe only if all endpoints share their keys, and if the window is not over by the time that the
+rejection's Retry-After names. Whether the client waits longer is not known.
 """
 
 from __future__ import annotations
@@ -38,12 +38,18 @@
     return at < first_sent_at + class_settings.deduplication_window_us
 
 
-def may_be_rejected(class_settings: ClassSettings, first_sent_at: int | None, now: int) -> bool:
-    """Return whether a client may safely repeat its request at any endpoint, so that it may be rejected."""
+def may_be_rejected(class_settings: ClassSettings, first_sent_at: int | None, repeated_at: int) -> bool:
+    """Return whether a client may safely repeat its request at any endpoint, so that it may be rejected.
+
+    Args:
+        class_settings: The settings of the request's class.
+        first_sent_at: When the first attempt that may have been executed was started; None if there is none.
+        repeated_at: When the client repeats the request, if it follows the rejection's Retry-After.
+    """
     if first_sent_at is None or class_settings.idempotency is Idempotency.IDEMPOTENT:
         return True
     is_known_everywhere = class_settings.deduplication_scope is DeduplicationScope.ALL
-    return is_known_everywhere and may_execute_again(class_settings, first_sent_at, now)
+    return is_known_everywhere and may_execute_again(class_settings, first_sent_at, repeated_at)
 
 
 def send_deadline(class_settings: ClassSettings, first_sent_at: int | None) -> int | None:
--- a/tests/policy/test_retry_safety.py
+++ b/tests/policy/test_retry_safety.py
@@ -9,9 +9,10 @@
 
 import pytest
 
-from tansyladder.policy.actions import Fail
+from tansyladder.policy.actions import Fail, Reject
 from tansyladder.policy.endpoints import Endpoint
 from tansyladder.policy.events import AttemptStatus, RequestReceived
+from tansyladder.policy.key_backoffs import SLOTS_PER_OBJECTIVE
 from tansyladder.policy.requests import Request
 from tansyladder.policy.retry_safety import may_be_rejected, may_execute_again, may_execute_on
 from tansyladder.policy.settings import ClassSettings, DeduplicationScope, Idempotency
@@ -148,3 +149,15 @@
     answers = driver.fail_attempt(retry, 1, AttemptStatus.NOT_ATTEMPTED, after=WINDOW_US)
     assert answers == [Fail(first.request_id)]
     assert not driver.endpoint(retry.endpoint_id).ejection.failure_count
+
+
+@pytest.mark.parametrize(("max_retry_after_us", "answer"), [(0, Reject), (SECOND, Fail)])
+def test_a_rejection_does_not_ask_for_a_repetition_after_the_window(
+    max_retry_after_us: int, answer: type[Reject] | type[Fail]
+) -> None:
+    """The window is still open when the client is answered, but not when its Retry-After has passed."""
+    window_us = LATENCY_OBJECTIVE // SLOTS_PER_OBJECTIVE  # the first interval, the wait, has two slots
+    driver = keyed_driver(window_us, max_attempts=1, max_retry_after_us=max_retry_after_us)
+    first = only_attempt(driver.send_request().actions)
+    (given,) = driver.fail_attempt(first, 0, AttemptStatus.RESET)
+    assert isinstance(given, answer)
