Ask retry safety before a restored connection's line is sent again, and for its answer

A client whose connection could not be restored got BUSY, also from a drain, although its line may have been executed.

RestoredConnectionHandler makes its attempts without the policy, so retry_safety was not asked.

Change: the handler records when the first attempt that may have been executed was started, and asks retry_safety before each further attempt and for its final answer.

Why it works: these functions decide for all other requests too. Attempts that prove that nothing was executed are repeated as before.

--- a/tansyladder/node/existing_connections.py
+++ b/tansyladder/node/existing_connections.py
@@ -28,6 +28,7 @@
 from tansyladder.node.metrics import RequestOutcome
 from tansyladder.policy.actions import CancelAttempt
 from tansyladder.policy.events import AttemptStatus, ConnectionAdopted
+from tansyladder.policy.retry_safety import may_be_rejected, may_execute_again, send_deadline
 
 RESTORE_RETRY_INTERVAL = timedelta(milliseconds=100)  # between two attempts to restore a connection
 
@@ -96,6 +97,9 @@
         super().__init__(services, client, opening)
         self._deadline = deadline
         self._endpoint_id = endpoint_id
+        self._clock = self._context.clock
+        self._class_settings = self._context.configuration.settings.classes[self._class_number]
+        self._first_sent_at_us: int | None = None  # of the first attempt that may have been executed
 
     def _serve(self) -> None:
         endpoint = self._context.policy.endpoint_by_id(self._endpoint_id)
@@ -120,28 +124,62 @@
         log(LogEvent.CONNECTION_RESTORE_FAILED, endpoint=self._endpoint_id, status=result.status.name.lower())
         if result.client_end is ClientEnd.DISCONNECTED:
             self._answer(RequestOutcome.CLIENT_LEFT)
-        else:
+        elif self._may_client_repeat():
             self._answer(RequestOutcome.REJECTED, format_reject(RETRY_AFTER))
+        else:
+            self._answer(RequestOutcome.FAILED, protocol.ERR + b"\r\n")
+
+    def _may_client_repeat(self) -> bool:
+        """Return whether the client may safely repeat its first line when a rejection asks for it."""
+        repeated_at_us = self._clock.to_unix_us(now() + RETRY_AFTER)
+        return may_be_rejected(self._class_settings, self._first_sent_at_us, repeated_at_us)
 
     def _connect(self, endpoint: EndpointAddress) -> ConnectResult:
-        """Make attempts until one succeeds, the deadline is near, the client leaves or a drain cancels it."""
+        """Make attempts until one succeeds or no further one is allowed.
+
+        That is the case when the deadline is near, the client has left, a drain has cancelled the attempt, or
+        the endpoint may have executed the first line and must not get it again.
+        """
         while True:
+            started_at = now()
             connector = UpstreamConnector(
                 endpoint,
                 self._opening.format_for_endpoint,
                 self._deadline,
-                SendLimits(self._context.configuration.settings.connect_timeout_us * MICROSECOND),
+                self._send_limits(),
                 self._record_attempt,
             )
             result = connector.open(self._client, self._action_queue)
             if result.sock is not None or result.client_end is ClientEnd.DISCONNECTED:
                 return result
+            if self._first_sent_at_us is None and not result.status.proves_not_executed:
+                self._first_sent_at_us = self._clock.to_unix_us(started_at)
             retry_at = now() + RESTORE_RETRY_INTERVAL
-            if retry_at >= self._deadline:
+            if not self._may_retry(retry_at):
                 return result
             sockets.wait_readable(retry_at, self._action_queue.fileno())
-            if isinstance(self._action_queue.peek(), CancelAttempt):
+            if self._is_cancelled():
                 return result
 
+    def _send_limits(self) -> SendLimits:
+        """Return what limits the sending of the next attempt's line."""
+        send_by_us = send_deadline(self._class_settings, self._first_sent_at_us)
+        return SendLimits(
+            self._context.configuration.settings.connect_timeout_us * MICROSECOND,
+            None if send_by_us is None else self._clock.from_unix_us(send_by_us),
+        )
+
+    def _may_retry(self, retry_at: timedelta) -> bool:
+        """Return whether a further attempt is in time, is not cancelled, and can have no second effect."""
+        if retry_at >= self._deadline or self._is_cancelled():
+            return False
+        return may_execute_again(
+            self._class_settings, self._first_sent_at_us, self._clock.to_unix_us(retry_at)
+        )
+
+    def _is_cancelled(self) -> bool:
+        """Return whether a drain has cancelled the attempts."""
+        return isinstance(self._action_queue.peek(), CancelAttempt)
+
     def _record_attempt(self) -> None:
         self._context.metrics.record_attempt(self._opening.class_name)
--- a/tests/node/test_retry_safety.py
+++ b/tests/node/test_retry_safety.py
@@ -20,8 +20,16 @@
 from tansyladder.policy.actions import Action, Fail, Reject
 from tansyladder.policy.balancer import Balancer
 from tansyladder.policy.events import Event
-from tests.node.harness import SETTINGS, Node, Peer, ScriptedServer, read_until_closed, running_node
-from tests.node.test_crossings import FullEndpoint
+from tests.node.harness import (
+    SETTINGS,
+    Node,
+    Peer,
+    ScriptedServer,
+    answer_up,
+    read_until_closed,
+    running_node,
+)
+from tests.node.test_crossings import LINGER_ZERO, FullEndpoint
 
 SECOND = 1_000_000  # in microseconds
 EFFECTS_AND_ANSWERS = [
@@ -33,7 +41,7 @@
 ]
 
 
-def settings_with(effect: str, group: str = "all") -> dict[str, Any]:
+def settings_with(effect: str, group: str = "all", window: int = 60 * SECOND) -> dict[str, Any]:
     """Return settings with one class of requests, and with times that end no attempt during a test."""
     only_class = {
         "name": "chat",
@@ -41,7 +49,7 @@
         "group": group,
         "slo": 4 * SECOND,
         "hard_limit": 9 * SECOND,
-        "window": 60 * SECOND,
+        "window": window,
     }
     ceilings = {"attempts_cap": 3, "connect_timeout": 9 * SECOND, "retry_after": True}
     return SETTINGS | {"classes": [only_class], "ceilings": ceilings}
@@ -137,3 +145,51 @@
     with running_node(tmp_path, endpoint, settings=settings_with("non_idempotent")) as node:
         assert node.open("c=chat,d=100").read_line() == "ERR"
     assert violated == [Invariant.DECISION_OVERDUE]
+
+
+@pytest.mark.parametrize(("effect", "group", "answer"), EFFECTS_AND_ANSWERS)
+def test_a_drain_answers_a_connection_that_is_being_restored_by_the_same_rule(
+    tmp_path: Path, end: Callable[[Node], None], effect: str, group: str, answer: str
+) -> None:
+    """Its first line may have been executed like any other; the policy does not know of the connection."""
+    endpoint = ExecutingEndpoint()
+    with running_node(tmp_path, endpoint, settings=settings_with(effect, group)) as node:
+        client = node.open("c=chat,d=9000,at=s0")
+        assert endpoint.received.wait(10)
+        end(node)
+        assert client.read_line().partition(" ")[0] == answer
+        assert len(endpoint.received_lines) == 1
+
+
+class FailingEndpoint(ScriptedServer):
+    """A stream host that breaks or refuses the first connection, and answers later ones with UP."""
+
+    def __init__(self, *, refuses_first: bool) -> None:
+        self._refuses_first = refuses_first
+        super().__init__(self._fail, answer_up(read_until_closed))
+
+    def _fail(self, peer: Peer) -> None:
+        peer.read_line()
+        if self._refuses_first:
+            peer.send_lines("BUSY")
+        else:
+            peer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO)
+
+
+@pytest.mark.parametrize(
+    ("effect", "window", "refuses_first", "answer"),
+    [
+        ("read_like", 60 * SECOND, False, "UP r1"),
+        ("idempotency_key", 60 * SECOND, False, "UP r1"),
+        ("idempotency_key", SECOND // 20, False, "ERR"),
+        ("non_idempotent", 60 * SECOND, False, "ERR"),
+        ("non_idempotent", 60 * SECOND, True, "UP r1"),
+    ],
+)
+def test_the_line_of_a_connection_that_is_being_restored_is_sent_again_only_if_that_is_safe(
+    tmp_path: Path, effect: str, window: int, answer: str, *, refuses_first: bool
+) -> None:
+    """A stream host that breaks the connection may have executed the line; one that refuses it has not."""
+    endpoint = FailingEndpoint(refuses_first=refuses_first)
+    with running_node(tmp_path, endpoint, settings=settings_with(effect, window=window)) as node:
+        assert node.open("c=chat,d=9000,at=s0").read_line() == answer
