Check from a history that no request takes effect twice while nodes restart: lab effects

Change: `lab effects` restarts a real node in each round, among stream hosts that answer late, refuse, fail and reset requests and let connections come up late, for four kinds of classes. The checker finds attempts and rejections that can cause a second effect. LabNode takes the settings of the policy instead of the number of nodes.

--- a/tansyladder/lab/chaos/cluster.py
+++ b/tansyladder/lab/chaos/cluster.py
@@ -22,7 +22,7 @@
 from tansyladder.lab.connections import LOOPBACK
 from tansyladder.lab.discovery_server import DiscoveryServer, Phase
 from tansyladder.lab.errors import LabTimeoutError
-from tansyladder.lab.node import LabNode
+from tansyladder.lab.node import POLICY_SETTINGS, LabNode
 from tansyladder.lab.report import Report, clock
 from tansyladder.lab.topology import connect_all
 from tansyladder.lab.waiting import wait_until
@@ -122,7 +122,12 @@
         folder = self.folder / name
         folder.mkdir()
         process = LabNode(
-            folder, discovery.address, discovery.listed(), operator_settings, name, self.settings.node_count
+            folder,
+            discovery.address,
+            discovery.listed(),
+            operator_settings,
+            name,
+            POLICY_SETTINGS | {"balancers": self.settings.node_count},
         )
         self.nodes.append(ChaosNode(number, process, self.history))
         client_link = Link(f"{LOOPBACK}:{process.port}")
--- a/tansyladder/lab/commands.py
+++ b/tansyladder/lab/commands.py
@@ -14,7 +14,16 @@
 import click
 import msgspec
 
-from tansyladder.lab import cost, crash_consistency, drain, fleet_counts, reconnect, restart, store_kill
+from tansyladder.lab import (
+    cost,
+    crash_consistency,
+    drain,
+    effects,
+    fleet_counts,
+    reconnect,
+    restart,
+    store_kill,
+)
 from tansyladder.lab.chaos import commands as chaos_commands
 from tansyladder.lab.drain import DrainReport, DrainStyle
 from tansyladder.lab.interactive import serve_cluster, serve_node
@@ -109,6 +118,19 @@
     _run_and_exit(restart.run(sessions, hosts, seed, has_store=store == "on"), as_json=as_json)
 
 
+@click.command("effects")
+@click.option("--rounds", default=10, show_default=True, type=click.IntRange(1, 10_000))
+@click.option("--requests", default=100, show_default=True, type=click.IntRange(1, 500))
+@click.option("--hosts", default=16, show_default=True, type=click.IntRange(1, 50))
+@seed_option
+@json_option
+def effects_command(rounds: int, requests: int, hosts: int, seed: int, *, as_json: bool) -> None:
+    """Restart a node while hosts break and delay requests, and check that none takes effect twice."""
+    report = asyncio.run(effects.run(effects.EffectsSettings(rounds, requests, hosts, seed)))
+    show(report, as_json=as_json)
+    sys.exit(1 if report.unsafe else 0)
+
+
 @click.command("fleet")
 @click.argument("folder", type=click.Path(path_type=Path, exists=True, file_okay=False))
 @click.option(
@@ -203,6 +225,7 @@
         cost_command,
         restart_command,
         up_command,
+        effects_command,
         fleet_command,
         store_faults_command,
         store_kill_command,
--- a/tansyladder/lab/node.py
+++ b/tansyladder/lab/node.py
@@ -9,6 +9,7 @@
 import resource
 import socket
 import sys
+from collections.abc import Mapping, Sequence
 from datetime import timedelta
 from pathlib import Path
 from typing import Any
@@ -79,6 +80,8 @@
 class LabNode:
     """The process of one node, with its configuration and log in a folder. Owned by one event loop."""
 
+    program: Sequence[str] = ("-m", "tansyladder")  # the arguments of the interpreter
+
     def __init__(
         self,
         folder: Path,
@@ -86,7 +89,7 @@
         known_endpoints: EndpointList,
         operator_settings: str = "",
         name: str = "lab",
-        node_count: int = 1,
+        policy_settings: Mapping[str, Any] = POLICY_SETTINGS,
     ) -> None:
         """Write the node's configuration.
 
@@ -97,7 +100,7 @@
             operator_settings: the operator's settings as S-expressions; empty for none. FOLDER is replaced by
                 the node's folder.
             name: the name of the node.
-            node_count: the number of nodes that share the hosts.
+            policy_settings: `settings` of the node's configuration.
         """
         self.folder = folder
         self.port = find_free_port()
@@ -114,7 +117,7 @@
             "seed": "1ab",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 8192},
             "known": msgspec.to_builtins(known_endpoints),
-            "settings": POLICY_SETTINGS | {"balancers": node_count},
+            "settings": dict(policy_settings),
         }
         self.config.write_text(json.dumps(configuration, indent=1))
         if self._settings_file is not None:
@@ -146,11 +149,11 @@
 
     def _command(self, clock_offset: float) -> list[str]:
         """Return the command line of a new process."""
-        command = [sys.executable, "-O", "-m"]
+        command = [sys.executable, "-O"]
         if clock_offset:
-            command += ["tansyladder.lab.chaos.skewed_clock", str(clock_offset)]
+            command += ["-m", "tansyladder.lab.chaos.skewed_clock", str(clock_offset)]
         else:
-            command += ["tansyladder"]
+            command += self.program
         if self._settings_file is not None:
             command += ["serve", "--settings", str(self._settings_file)]
         return command
--- a/tests/answers/test_lab_reports.py
+++ b/tests/answers/test_lab_reports.py
@@ -22,6 +22,7 @@
 from tansyladder.lab.chaos import checkers, history, reports, schedule
 from tansyladder.lab.crash_consistency import CrashConsistencyReport
 from tansyladder.lab.drain import DrainReport
+from tansyladder.lab.effects import EffectsReport
 from tansyladder.lab.output import JsonReport
 from tansyladder.lab.reconnect import ReconnectReport
 from tansyladder.lab.report import InvariantViolations, Report
@@ -36,6 +37,7 @@
     "cost",
     "restart",
     "up",
+    "effects",
     "fleet",
     "takeover",
     "chaos",
@@ -103,6 +105,7 @@
     reports.FailedRun: "seed cases refused schedule",
     reports.DocumentsReport: "nodes seed changes done refused knocks served stamped turned_away_when_calm "
     "knocks_when_calm publish_ms violations cases",
+    EffectsReport: "rounds requests answers received unsafe cases",
     CrashConsistencyReport: "offsets faults recoveries named lost half_batches resurrected max_recovery_ms "
     "took_s cases",
     store_benchmark.StoreBenchmarkReport: "puts_a_second gets_a_second ratio_64_to_best_other recovery "
