Move the action queues of requests out of the policy runner

Change: node/request_queues.py has the queues, under the runner's lock as before. The tests that wait for a connect share one function.

--- a/tansyladder/node/policy_runner.py
+++ b/tansyladder/node/policy_runner.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import contextlib
-import itertools
 import threading
 from collections import deque
 from collections.abc import Sequence
@@ -23,6 +22,7 @@
 from tansyladder.node.event_counters import EventCounters, SecondCounts
 from tansyladder.node.metrics import Metrics
 from tansyladder.node.policy_timers import PolicyTimers
+from tansyladder.node.request_queues import RequestQueues
 from tansyladder.node.work_queues import WorkQueues
 from tansyladder.policy.actions import (
     Action,
@@ -64,8 +64,7 @@
         self._lock = threading.Lock()
         self._timers = PolicyTimers(self._lock)
         self._timer_thread = threading.Thread(target=self._run_timers, name="timers", daemon=True)
-        self._request_ids = itertools.count(1)
-        self._action_queues: dict[int, ActionQueue] = {}  # by request
+        self._requests = RequestQueues()
         self._registry = EndpointRegistry(config, clock)
         self._endpoints = self._registry.endpoints_by_number
         self._event_counters = EventCounters(
@@ -135,24 +134,12 @@
                 case SetTimer(at_us, token):
                     self._timers.set(self._clock.from_unix_us(at_us), token)
                 case StartAttempt() | Reject() | Fail() | CancelAttempt() | Migrate():
-                    if (action_queue := self._post(action)) is not None:
+                    if (action_queue := self._requests.post_of_policy(action)) is not None:
                         queues_to_wake.append(action_queue)
                 case _:
                     self._perform(action)
         return queues_to_wake
 
-    def _post(self, action: QueuedAction) -> ActionQueue | None:
-        """Post an action of the policy to its request; return the queue to wake, or None if it is ignored."""
-        action_queue = self._action_queues.get(action.request_id)
-        if action_queue is None:
-            return None
-        # A cancellation is too late for an established connection, a migration too early for any other.
-        ignored = CancelAttempt if action_queue.is_established else Migrate
-        if isinstance(action, ignored):
-            return None
-        action_queue.post(action)
-        return action_queue
-
     def _perform(self, action: Action) -> None:
         """Perform an action that concerns no request."""
         match action:
@@ -192,46 +179,36 @@
     def register_request(self, action_queue: ActionQueue) -> int:
         """Return a new request's id; the policy's actions for the request go to `action_queue`."""
         with self._lock:
-            request_id = next(self._request_ids)
-            self._action_queues[request_id] = action_queue
-            return request_id
+            return self._requests.register(action_queue)
 
     def unregister_request(self, request_id: int) -> None:
         """Ignore further actions for a request, which has ended."""
         with self._lock:
-            self._action_queues.pop(request_id, None)
+            self._requests.unregister(request_id)
 
     def dispatch(self, actions: Sequence[QueuedAction]) -> None:
         """Dispatch actions of the node itself; actions for requests that have ended are ignored."""
-        queues_to_wake = []
         with self._lock:
-            for action in actions:
-                action_queue = self._action_queues.get(action.request_id)
-                if action_queue is not None:
-                    action_queue.post(action)
-                    queues_to_wake.append(action_queue)
-        for action_queue in queues_to_wake:
-            action_queue.wake()
+            posted = [self._requests.post(action) for action in actions]
+        for action_queue in posted:
+            if action_queue is not None:
+                action_queue.wake()
 
     def established_request_ids(self) -> list[int]:
         """Return the ids of the requests whose connections are established."""
         with self._lock:
-            return [number for number, queue in self._action_queues.items() if queue.is_established]
+            return self._requests.established_ids()
 
     def waiting_request_ids(self) -> list[int]:
         """Return the ids of the requests that wait for a connection."""
         with self._lock:
-            return [number for number, queue in self._action_queues.items() if not queue.is_established]
+            return self._requests.waiting_ids()
 
     def evict_waiting_requests(self) -> None:
         """Have the policy end the requests that wait for a connection: the node can't wait any longer."""
         with self._lock:
-            waiting = [
-                RequestEvicted(number)
-                for number, queue in self._action_queues.items()
-                if not queue.is_established
-            ]
-            queues_to_wake = self._handle_events_locked(waiting)
+            evictions = [RequestEvicted(number) for number in self._requests.waiting_ids()]
+            queues_to_wake = self._handle_events_locked(evictions)
         self._wake_and_log(queues_to_wake)
 
     def may_send_to(self, endpoint_number: int) -> bool:
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -87,11 +87,8 @@
     client.close()
 
 
-@pytest.mark.parametrize("end", ["close", "reset", "half"])
-def test_no_attempt_starts_for_a_client_that_disconnects_during_the_connect(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, end: str
-) -> None:
-    """If the connect succeeds late, the first line of a client that has disconnected must not be sent."""
+def event_of_connect(monkeypatch: pytest.MonkeyPatch) -> threading.Event:
+    """Return an event that is set when the node begins to wait for a connection to an endpoint."""
     connecting = threading.Event()
     wait_connected = sockets.wait_connected
 
@@ -100,6 +97,15 @@
         return wait_connected(sock, deadline, *descriptors)
 
     monkeypatch.setattr(sockets, "wait_connected", notify_and_wait)
+    return connecting
+
+
+@pytest.mark.parametrize("end", ["close", "reset", "half"])
+def test_no_attempt_starts_for_a_client_that_disconnects_during_the_connect(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, end: str
+) -> None:
+    """If the connect succeeds late, the first line of a client that has disconnected must not be sent."""
+    connecting = event_of_connect(monkeypatch)
     endpoint = FullEndpoint()
     with running_node(tmp_path, endpoint, settings=LONG_CONNECT_TIMEOUT) as node:  # type: ignore[arg-type]
         client = node.open("c=chat,d=9000")
--- a/tests/node/test_retry_safety.py
+++ b/tests/node/test_retry_safety.py
@@ -15,7 +15,6 @@
 import pytest
 
 from tansyladder.invariants import Invariant
-from tansyladder.net import sockets
 from tansyladder.node import attempt_loop, connection_drainer
 from tansyladder.policy.actions import Action, Fail, Reject
 from tansyladder.policy.balancer import Balancer
@@ -29,7 +28,7 @@
     read_until_closed,
     running_node,
 )
-from tests.node.test_crossings import LINGER_ZERO, FullEndpoint
+from tests.node.test_crossings import LINGER_ZERO, FullEndpoint, event_of_connect
 
 SECOND = 1_000_000  # in microseconds
 EFFECTS_AND_ANSWERS = [
@@ -113,14 +112,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, end: Callable[[Node], None]
 ) -> None:
     """While a connection comes up, no stream host has the request, and its client can go to another node."""
-    connecting = threading.Event()
-    wait_connected = sockets.wait_connected
-
-    def notify_and_wait(sock: socket.socket, deadline: timedelta, *descriptors: int) -> set[int]:
-        connecting.set()
-        return wait_connected(sock, deadline, *descriptors)
-
-    monkeypatch.setattr(sockets, "wait_connected", notify_and_wait)
+    connecting = event_of_connect(monkeypatch)
     settings = settings_with("non_idempotent")
     with running_node(tmp_path, FullEndpoint(), settings=settings) as node:  # type: ignore[arg-type]
         client = node.open("c=chat,d=9000")
