A start polls the file's discovery address if the environment's is outdated

Cause: at a start GW_DISCOVERY goes before the file, but the platform replaces only the file when discovery moves; nothing polled the file's address when the other one refused every call. A plain restart took the same way.

Change: a process that knows two addresses begins with the file's if its predecessor polls that one (a new optional key of the message that hands the listener over), else with GW_DISCOVERY, and alternates after failed calls until one has answered with a list. discovery_failed names the address.

--- a/tansyladder/assembly.py
+++ b/tansyladder/assembly.py
@@ -65,7 +65,7 @@
             configured, self.endpoint_cache, self.handover.endpoints, context.clock
         )
         context.policy.start(initial)
-        discovery = DiscoveryClient(context, self.work_queues, self.endpoint_cache)
+        discovery = DiscoveryClient(context, self.work_queues, self.endpoint_cache, self.handover.discovery)
         discovery.start()
         HealthChecker(context, self.work_queues).start()
         self.listener.start()
--- a/tansyladder/config/platform.py
+++ b/tansyladder/config/platform.py
@@ -88,6 +88,8 @@
     listen: Address
     operator: Address | None  # address of the admin server; None if there is none
     discovery: Address
+    # The address in the file if the environment names another one; it may be the newer of the two.
+    alternative_discovery: Address | None
     seed: int
     limits: Limits
     known_endpoints: EndpointList
@@ -160,11 +162,13 @@
     except (ValueError, OverflowError) as err:  # also for a number with thousands of digits
         raise _settings_error(err) from err
     has_operator = bool(environ.get("GW_OPERATOR") or file.operator)
+    discovery = _address(environ, "GW_DISCOVERY", file.discovery)
     return Config(
         name=environ.get("GW_NAME") or file.name or "node",
         listen=_address(environ, "GW_LISTEN", file.listen),
         operator=_address(environ, "GW_OPERATOR", file.operator) if has_operator else None,
-        discovery=_address(environ, "GW_DISCOVERY", file.discovery),
+        discovery=discovery,
+        alternative_discovery=_alternative_address(discovery, file.discovery),
         seed=seed,
         limits=file.limits,
         known_endpoints=file.known_endpoints,
@@ -305,6 +309,15 @@
     return parse_address(in_file, variable.removeprefix("GW_").lower())
 
 
+def _alternative_address(address: Address, in_file: str) -> Address | None:
+    """Return the address in the file if it is a valid address other than `address`, else None."""
+    try:
+        alternative = parse_address(in_file, "discovery")
+    except ConfigError:  # an address that the environment overrides may be absent or invalid
+        return None
+    return None if alternative == address else alternative
+
+
 def _file_values(text: bytes, known_endpoints: EndpointList) -> dict[str, str]:
     """Return the values in the file by path.
 
--- a/tansyladder/config/reload.py
+++ b/tansyladder/config/reload.py
@@ -93,6 +93,7 @@
     return replace(
         running,
         discovery=reloaded.discovery,
+        alternative_discovery=reloaded.alternative_discovery,
         settings=replace(reloaded.settings, **fixed),
         class_names=reloaded.class_names,
         reports_delay=reloaded.reports_delay,
--- a/tansyladder/log_events.py
+++ b/tansyladder/log_events.py
@@ -27,7 +27,7 @@
     CONNECTION_ADOPTION_FAILED = "connection_adoption_failed", "endpoint", "error"
     CONNECTION_RESTORE_FAILED = "connection_restore_failed", "endpoint", "status"
     COUNTS = "counts", "timestamp", "endpoints"  # and a field for each count above 0
-    DISCOVERY_FAILED = "discovery_failed", "error", "duration_ms"
+    DISCOVERY_FAILED = "discovery_failed", "discovery", "error", "duration_ms"
     DISK_WITNESS_FAILED = "disk_witness_failed", "error"
     DOCUMENT_CHANGE_ENDED = (
         "document_change_ended",
--- a/tansyladder/net/handover_messages.py
+++ b/tansyladder/net/handover_messages.py
@@ -12,18 +12,19 @@
 
 import msgspec
 
-from tansyladder.config.platform import EndpointList
+from tansyladder.config.platform import Address, EndpointList
 
 REQUEST_LISTENER = b"TAKE 1"  # the new process asks for the clients' listener
 SERVING = b"SERVING"  # the new process takes clients
 MAX_MESSAGE_BYTES = 1 << 18  # far more than an endpoint list or a connection's unsent bytes need
 
 
-class DescriptorTransfer(msgspec.Struct, frozen=True):
+class DescriptorTransfer(msgspec.Struct, frozen=True, omit_defaults=True):
     """The message that accompanies the listener's descriptor."""
 
     retained_descriptor_count: int = msgspec.field(name="kept")  # that the old process may still use
     endpoints: EndpointList = msgspec.field(name="members")
+    discovery: Address | None = None  # the address that the old process polls; older builds don't send it
 
 
 class BytesByDirection(NamedTuple):
@@ -62,6 +63,9 @@
     def known_endpoints(self) -> EndpointList:
         """Return the endpoint list that this process has."""
 
+    def discovery_address(self) -> Address:
+        """Return the address of discovery that this process was configured with last."""
+
     def on_successor_serving(self) -> None:
         """Leave the listener's queue to the successor, which accepts clients from it now."""
 
--- a/tansyladder/net/handover_thread.py
+++ b/tansyladder/net/handover_thread.py
@@ -131,7 +131,9 @@
     def _share_listener(self, successor: socket.socket) -> None:
         split = self._owner.split_descriptors()
         self._lifecycle.listener_sent(split.released_count)
-        transfer = DescriptorTransfer(split.retained_count, self._owner.known_endpoints())
+        transfer = DescriptorTransfer(
+            split.retained_count, self._owner.known_endpoints(), self._owner.discovery_address()
+        )
         socket.send_fds(successor, [msgspec.json.encode(transfer)], [self._listener.fileno()])
         log(LogEvent.LISTENER_HANDOVER, step=HandoverStep.LISTENER_SENT)
 
--- a/tansyladder/net/http.py
+++ b/tansyladder/net/http.py
@@ -51,7 +51,7 @@
     """
 
     def __init__(self, address: Address) -> None:
-        self._address = address
+        self.address = address
         self._sock: socket.socket | None = None
         self._received = b""  # bytes that are not parsed yet
         self._is_aborted = False
@@ -106,12 +106,12 @@
         return body
 
     def _format_request(self, path: str) -> bytes:
-        host = f"{self._address[0]}:{self._address[1]}"
+        host = f"{self.address[0]}:{self.address[1]}"
         return f"GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode()
 
     def _connect(self, timeout: timedelta) -> socket.socket:
         if self._sock is None:
-            sock = socket.create_connection(self._address, timeout.total_seconds())
+            sock = socket.create_connection(self.address, timeout.total_seconds())
             with self._lock:
                 self._sock = sock
         if self._is_aborted:
@@ -126,7 +126,7 @@
             data = sockets.receive_by(self._sock, READ_SIZE_BYTES, deadline)
         except TimeoutError as err:
             raise HttpTimeoutError(
-                f"no complete response from {self._address[0]}:{self._address[1]} in time"
+                f"no complete response from {self.address[0]}:{self.address[1]} in time"
             ) from err
         if not data:
             raise HttpError("the server closed the connection before the response was complete")
--- a/tansyladder/net/listener_handover.py
+++ b/tansyladder/net/listener_handover.py
@@ -64,6 +64,7 @@
         # lifecycle: the main thread sets it, and a relay clears it if no successor took its connection.
         self._migration_event = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
         self.endpoints: EndpointList | None = None  # the predecessor's list
+        self.discovery: Address | None = None  # the predecessor's address of discovery
 
     # --- from the predecessor
 
@@ -84,6 +85,7 @@
             return None
         self._predecessor = predecessor
         self.endpoints = transfer.endpoints
+        self.discovery = transfer.discovery
         self._lifecycle.listener_received(transfer.retained_descriptor_count)
         log(LogEvent.LISTENER_HANDOVER, step=HandoverStep.LISTENER_RECEIVED)
         return listener
--- a/tansyladder/node/client_listener.py
+++ b/tansyladder/node/client_listener.py
@@ -58,6 +58,7 @@
         Raises:
             OSError: The node can't listen on the address.
         """
+        self._configuration = context.configuration
         self._policy = context.policy
         self._lifecycle = context.lifecycle
         self._metrics = context.metrics
@@ -167,6 +168,10 @@
         """Return the endpoint list as this process knows it."""
         return self._policy.endpoint_list()
 
+    def discovery_address(self) -> Address:
+        """Return the address of discovery that this process was configured with last."""
+        return self._configuration.config.discovery
+
     def adopt_connection(
         self, state: ConnectionState, client: socket.socket, upstream: socket.socket
     ) -> None:
--- a/tansyladder/node/discovery_client.py
+++ b/tansyladder/node/discovery_client.py
@@ -17,6 +17,7 @@
 from tansyladder.net.clock import MICROSECOND, now
 from tansyladder.net.http import HttpClient, HttpError, HttpTimeoutError
 from tansyladder.node.context import NodeContext
+from tansyladder.node.discovery_addresses import DiscoveryAddresses
 from tansyladder.node.work_queues import WorkQueues
 from tansyladder.policy.events import ListUpdateKind
 
@@ -76,12 +77,17 @@
 class DiscoveryClient:
     """Polls discovery on one thread, from a request of the policy until a failure that the policy handles.
 
-    `_lock` guards the address, its HTTP client and their state; no other object is called while it is held.
+    `_lock` guards the addresses, the HTTP client and their state; it is held for no I/O, and no other object
+    but the addresses is called while it is held.
     Only the polling thread writes `_state`. `switch_address` is thread-safe.
     """
 
     def __init__(
-        self, context: NodeContext, work_queues: WorkQueues, endpoint_cache: EndpointListCache
+        self,
+        context: NodeContext,
+        work_queues: WorkQueues,
+        endpoint_cache: EndpointListCache,
+        predecessor_address: Address | None = None,
     ) -> None:
         """Prepare to poll the address that the configuration names.
 
@@ -89,6 +95,7 @@
             context: The context of the node.
             work_queues: Contain the policy's requests to poll.
             endpoint_cache: Stores the list for the next process.
+            predecessor_address: What the process that this one replaces polls; None if there is none.
         """
         config = context.configuration.config
         self._configuration = context.configuration
@@ -96,11 +103,14 @@
         self._work_queues = work_queues
         self._endpoint_cache = endpoint_cache
         self._lock = threading.Lock()
-        self._address = config.discovery
-        self._http = HttpClient(config.discovery)
+        self._addresses = DiscoveryAddresses(config, predecessor_address)
+        self._http = HttpClient(self._addresses.polled)
         # Whether the next call requests the complete list, which this address has not sent yet. At a start
-        # the changes since the known list are enough, except from an agent.
-        self._needs_snapshot = self._is_agent or not config.known_endpoints.endpoints
+        # the changes since the known list are enough, except from an agent, or if it is not certain that the
+        # address is the right one: the complete list is answered at once, and a poll only after a while.
+        self._needs_snapshot = (
+            self._is_agent or not config.known_endpoints.endpoints or self._addresses.has_alternative
+        )
         self._retry_spread = self._first_call_spread
         self._state = PollState.ANSWERING
         self._first_answer = threading.Event()
@@ -147,11 +157,10 @@
         address is aborted.
         """
         with self._lock:
-            if address == self._address:
+            if not self._addresses.replace(address):
                 return False
             old = self._http
             self._http = HttpClient(address)
-            self._address = address
             self._require_snapshot()
         old.abort()
         self._work_queues.request_discovery_poll()
@@ -186,7 +195,12 @@
             http.close()
             return True
         if isinstance(result, CallFailure):
-            log(LogEvent.DISCOVERY_FAILED, error=result.error, duration_ms=now() - started)
+            log(
+                LogEvent.DISCOVERY_FAILED,
+                discovery="{}:{}".format(*http.address),
+                error=result.error,
+                duration_ms=now() - started,
+            )
             self._policy.record_discovery_call(failed=True)
             return self._handle_failure(http, result)
         if result.endpoints or result.complete:
@@ -228,6 +242,7 @@
                 return
             self._needs_snapshot = False
             self._state = PollState.ANSWERING
+            self._addresses.confirm()
         self._policy.record_discovery_call(failed=False)
         kind = ListUpdateKind.SNAPSHOT if listed.complete else ListUpdateKind.DELTA
         self._policy.update_endpoints(listed, kind)
@@ -250,6 +265,7 @@
                 return True
             if self._needs_snapshot:
                 self._retry_spread = min(2 * self._retry_spread, MAX_RETRY_SPREAD)
+                self._use_alternative_address()
                 is_polling = True
             else:
                 is_polling = self._is_poll_repeated(failure)
@@ -263,6 +279,12 @@
             self._policy.update_endpoints(unchanged, ListUpdateKind.FAILED)
         return is_polling
 
+    def _use_alternative_address(self) -> None:
+        """Make the next call to the alternative address, if there is one; called with the lock held."""
+        if self._addresses.has_alternative:
+            self._addresses.use_alternative()
+            self._http = HttpClient(self._addresses.polled)
+
     def _is_poll_repeated(self, failure: CallFailure) -> bool:
         """Return whether to repeat a failed poll at once: any poll of an agent, otherwise a first timeout."""
         return self._is_agent or (failure.is_timeout and self._state is PollState.ANSWERING)
--- a/tests/formats/test_handover_formats.py
+++ b/tests/formats/test_handover_formats.py
@@ -37,6 +37,9 @@
     endpoints=[READY_ENDPOINT, EndpointEntry(id="s2", address="10.0.0.2:7000", state="draining")],
 )
 LISTENER = DescriptorTransfer(retained_descriptor_count=150, endpoints=ENDPOINTS)
+# As sent since discovery's address was added; earlier builds ignore a key that they don't know.
+DISCOVERY = Address("10.2.0.1", 8500)
+LISTENER_AND_DISCOVERY = DescriptorTransfer(150, ENDPOINTS, DISCOVERY)
 CONNECTION = ConnectionState(
     opening="OPEN 9b1f 7f c=chat,d=1200,g=5c",
     endpoint_id="s1",
@@ -67,6 +70,10 @@
     assert msgspec.json.decode(written("connection"), type=ConnectionState) == CONNECTION
     assert msgspec.json.decode(written("connection_idle"), type=ConnectionState) == IDLE_CONNECTION
     assert msgspec.json.encode(LISTENER) == written("listener")
+    assert (
+        msgspec.json.decode(written("listener_discovery"), type=DescriptorTransfer) == LISTENER_AND_DISCOVERY
+    )
+    assert msgspec.json.encode(LISTENER_AND_DISCOVERY) == written("listener_discovery")
     assert msgspec.json.encode(CONNECTION) == written("connection")
     assert msgspec.json.encode(IDLE_CONNECTION) == written("connection_idle")
 
@@ -131,6 +138,9 @@
     def known_endpoints(self) -> EndpointList:
         return ENDPOINTS
 
+    def discovery_address(self) -> Address:
+        return DISCOVERY
+
     def on_successor_serving(self) -> None:
         self.has_successor.set()
 
@@ -155,7 +165,10 @@
             successor.connect(str(tmp_path / SOCKET_NAME))
             successor.sendall(b"TAKE 1")
             received, descriptors, _, _ = socket.recv_fds(successor, MAX_MESSAGE_BYTES, 4)
-            assert (received, len(descriptors)) == (written("listener"), 1)
+            assert (received, len(descriptors)) == (written("listener_discovery"), 1)
+            known_to_earlier_build = msgspec.json.decode(received)
+            del known_to_earlier_build["discovery"]
+            assert known_to_earlier_build == msgspec.json.decode(written("listener"))
             with socket.socket(fileno=descriptors[0]) as received_listener:
                 assert received_listener.getsockname() == listener.getsockname()
             successor.sendall(b"SERVING")
--- a/tests/net/test_listener_handover.py
+++ b/tests/net/test_listener_handover.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import os
 import select
 import signal
 import socket
 import subprocess
-import sys
 import threading
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -29,7 +27,12 @@
     load_test_config,
     read_until_closed,
 )
-from tests.node.program import connect_client, read_log_until, running_program
+from tests.node.program import (
+    connect_client,
+    program_started_again,
+    read_log_until,
+    running_program,
+)
 
 STAY_CONNECTED = answer_up(read_until_closed)
 
@@ -51,16 +54,10 @@
     process: subprocess.Popen[bytes], tmp_path: Path, port: int
 ) -> Iterator[subprocess.Popen[bytes]]:
     """Run the program as the successor of a running process, and yield it once it serves clients."""
-    env = {**os.environ, "GW_CONFIG": str(tmp_path / "config.json"), "GW_LISTEN": f"127.0.0.1:{port}"}
-    with subprocess.Popen(
-        [sys.executable, "-O", "-m", "tansyladder"], env=env, stderr=subprocess.PIPE
-    ) as successor:
-        try:
-            read_log_until(successor, b"event=listener_handover step=listener_received")
-            read_log_until(process, b"event=listener_handover step=successor_serving")
-            yield successor
-        finally:
-            successor.kill()
+    with program_started_again(tmp_path, port) as successor:
+        read_log_until(successor, b"event=listener_handover step=listener_received")
+        read_log_until(process, b"event=listener_handover step=successor_serving")
+        yield successor
 
 
 def handover(tmp_path: Path, port: int) -> ListenerHandover:
--- a/tests/node/program.py
+++ b/tests/node/program.py
@@ -6,6 +6,7 @@
 import socket
 import subprocess
 import sys
+import threading
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
@@ -18,13 +19,20 @@
     unique_id,
 )
 
+LOG_TIMEOUT_SECONDS = 30.0  # after which a program that has not written the awaited line is killed
+
 
 def read_log_until(process: subprocess.Popen[bytes], start: bytes) -> None:
     """Read the program's log up to a line that begins with `start`."""
     assert process.stderr is not None
-    for line in process.stderr:
-        if line.startswith(start):
-            return
+    watchdog = threading.Timer(LOG_TIMEOUT_SECONDS, process.kill)
+    watchdog.start()
+    try:
+        for line in process.stderr:
+            if line.startswith(start):
+                return
+    finally:
+        watchdog.cancel()
     raise AssertionError(f"the program's log ended before a line that begins with {start!r}")
 
 
@@ -67,6 +75,27 @@
             process.kill()  # so that a failing test does not wait until the program exits
 
 
+@contextmanager
+def program_started_again(tmp_path: Path, port: int, **environment: str) -> Iterator[subprocess.Popen[bytes]]:
+    """Run the program with the configuration that `running_program` wrote, on the same port.
+
+    Args:
+        tmp_path: The directory that contains the configuration.
+        port: The port of the clients' listener.
+        environment: Further environment variables.
+    """
+    variables = {"GW_CONFIG": str(tmp_path / "config.json"), "GW_LISTEN": f"127.0.0.1:{port}"}
+    with subprocess.Popen(
+        [sys.executable, "-O", "-m", "tansyladder"],
+        env={**os.environ, **variables, **environment},
+        stderr=subprocess.PIPE,
+    ) as process:
+        try:
+            yield process
+        finally:
+            process.kill()
+
+
 def connect_client(port: int, key: str = "7f") -> Peer:
     """Connect a client to the program and send a valid first line."""
     client = Peer(socket.create_connection(("127.0.0.1", port), 5))
