Keep the line of an opening instead of objects for all of its fields

The platform kills a node that is over its limit.

Cause: Opening held a NamedTuple and two strings for each field as long as the connection lived, 150 KB for a line of 4 KB, and the successor parses the line again while the predecessor still holds its own.

Change: Opening holds the line, and the values of the fields that the node uses. The fields are split again for each attempt. Their form is checked by one match for all.

--- a/tansyladder/net/protocol.py
+++ b/tansyladder/net/protocol.py
@@ -46,11 +46,28 @@
 RESUME_OFFER_FIELD = "rs"
 RESUME_TOKEN_FIELD = "rt"
 RESUME_POSITION_FIELD = "rp"
+# The fields whose values the node uses. The others are forwarded, and only the line itself contains them.
+KNOWN_FIELDS = frozenset(
+    {
+        WAIT_FIELD,
+        CLASS_FIELD,
+        GROUP_FIELD,
+        LOAD_HINT_FIELD,
+        RETRY_FIELD,
+        RECONNECT_FIELD,
+        ENDPOINT_FIELD,
+        TENANT_FIELD,
+        RESUME_OFFER_FIELD,
+        RESUME_TOKEN_FIELD,
+        RESUME_POSITION_FIELD,
+    }
+)
 
 _ID = re.compile(r"[0-9a-f]{1,16}\Z", re.I | re.A)
 _NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?\Z", re.A)  # no sign, exponent, infinity or huge value
-_FIELD_NAME = re.compile(r"[a-z][a-z0-9_]{0,31}\Z", re.A)
-_FIELD_VALUE = re.compile(r"[!-~]{1,128}\Z", re.A)  # printable and of bounded length: forwarded unchanged
+# A value is printable and of bounded length, as it is forwarded unchanged; the comma separates fields.
+_FIELD = r"[a-z][a-z0-9_]{0,31}=[!-+\--~]{1,128}"
+_FIELDS = re.compile(rf"{_FIELD}(,{_FIELD})*\Z", re.A)
 
 
 class LineError(NetworkError):
@@ -102,7 +119,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Opening:
-    """A client's parsed and validated first line."""
+    """A client's parsed and validated first line.
+
+    It lives as long as the connection, and a line may have hundreds of fields. So it holds the line and the
+    values of `KNOWN_FIELDS`: objects for all of its fields would use many times the memory of the line.
+    """
 
     connection_id: str  # in lower case
     key: int  # the connection's key for the choice of an endpoint
@@ -113,18 +134,8 @@
     is_reconnect: bool
     endpoint_id: str | None  # where the connection was open before the node started; None for a new one
     load_hint: float | None
-    fields: tuple[Field, ...]
-    prefix: str  # the words before the fields, as received
-
-    @property
-    def line(self) -> str:
-        """The complete line as received, without its CRLF."""
-        return f"{self.prefix} {','.join(f'{name}={value}' for name, value in self.fields)}"
-
-    @property
-    def field_values(self) -> dict[str, str]:
-        """The values of the fields, by name."""
-        return dict(self.fields)
+    field_values: Mapping[str, str]  # of the fields in KNOWN_FIELDS, by name
+    line: str  # the complete line as received, without its CRLF
 
     def format_for_endpoint(
         self, wait: timedelta, omitted: Collection[str] = (), added: tuple[tuple[str, str], ...] = ()
@@ -137,11 +148,12 @@
             added: Fields that the node adds at the end.
         """
         wait_ms = str(max(1, wait // MILLISECOND))
-        fields = [field for field in self.fields if field.name not in omitted]
+        prefix, _, field_text = self.line.rpartition(" ")
+        fields = [field for field in _split_fields(field_text) if field.name not in omitted]
         text = ",".join(
             f"{name}={wait_ms if name == WAIT_FIELD else value}" for name, value in (*fields, *added)
         )
-        return f"{self.prefix} {text}\r\n".encode()
+        return f"{prefix} {text}\r\n".encode()
 
 
 def parse_opening(line: bytes) -> Opening:
@@ -150,10 +162,8 @@
     Raises:
         LineError: The line is not an OPEN line, or one of its words or fields is malformed or out of range.
     """
-    connection_id, key, fields = _split_opening(line)
-    values = dict(fields)
-    if len(values) != len(fields):
-        raise LineError("expected each field name once, got one twice")
+    connection_id, key, field_text = _split_opening(line)
+    values = _parse_known_fields(field_text)
     if CLASS_FIELD not in values:
         raise LineError("c: required field is missing")
     wait = _parse_wait(values)
@@ -170,17 +180,17 @@
         is_retry=_parse_flag(values, RETRY_FIELD),
         is_reconnect=_parse_flag(values, RECONNECT_FIELD),
         endpoint_id=values.get(ENDPOINT_FIELD),
-        fields=fields,
-        prefix=f"OPEN {connection_id} {key}",
+        field_values=values,
+        line=f"OPEN {connection_id} {key} {field_text}",
     )
 
 
 class _OpeningWords(NamedTuple):
-    """The words of an OPEN line, with the fields split into pairs but their values not parsed yet."""
+    """The words of an OPEN line, with the fields not split yet."""
 
     connection_id: str
     key: str
-    fields: tuple[Field, ...]
+    field_text: str
 
 
 def _split_opening(line: bytes) -> _OpeningWords:
@@ -197,14 +207,27 @@
         raise LineError(f"id: expected up to 16 hexadecimal digits, got {connection_id!r}")
     if not _ID.match(key):
         raise LineError(f"key: expected up to 16 hexadecimal digits, got {key!r}")
-    return _OpeningWords(connection_id, key, tuple(_parse_field(text) for text in fields.split(",")))
+    return _OpeningWords(connection_id, key, fields)
+
 
+def _split_fields(text: str) -> list[Field]:
+    """Split valid fields into pairs of name and value."""
+    return [Field(name, value) for name, _, value in (field.partition("=") for field in text.split(","))]
 
-def _parse_field(text: str) -> Field:
-    name, _, value = text.partition("=")
-    if not _FIELD_NAME.match(name) or not _FIELD_VALUE.match(value):
+
+def _parse_known_fields(text: str) -> dict[str, str]:
+    """Check the form of all fields, and return the values of those in `KNOWN_FIELDS`, by name."""
+    if not _FIELDS.match(text):
         raise LineError("expected fields NAME=VALUE, separated by commas, got a field of another form")
-    return Field(name, value)
+    fields = text.split(",")
+    names = [field.partition("=")[0] for field in fields]
+    if len(set(names)) != len(names):
+        raise LineError("expected each field name once, got one twice")
+    return {
+        name: field.partition("=")[2]
+        for name, field in zip(names, fields, strict=True)
+        if name in KNOWN_FIELDS
+    }
 
 
 def _parse_wait(values: Mapping[str, str]) -> timedelta:
