Limit the kernel's send buffer of each connection to 32 KB

What callers saw (played on real processes): 100 clients that sent lines to echoing stream hosts and read nothing had the kernel hold 160.6 MB in the send queues of the node's sockets. Where the platform counts these, hundreds of such clients take a node over its limit.

Cause: the relay is bounded, but the kernel lets the send buffer of a socket grow to 4 MB, and nothing limited it.

Change: SO_SNDBUF of the clients' listener, which its connections inherit, and of connections to endpoints.

--- a/tansyladder/net/sockets.py
+++ b/tansyladder/net/sockets.py
@@ -17,6 +17,8 @@
 SEND_TIMEOUT = timedelta(seconds=5)  # after which a connection whose other side accepts no data is closed
 DRAIN_TIMEOUT = timedelta(milliseconds=500)  # for the other side to end its half after this side has ended
 READ_SIZE_BYTES = 8192  # of one read; lines are short, and a read seldom returns two of them
+# Of what the kernel holds for a side that does not read; it grows to megabytes for each connection otherwise.
+SEND_BUFFER_BYTES = 32 * 1024
 MAX_DRAIN_BYTES = 1 << 20  # input discarded before a close, as closing with unread input sends a reset
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # `struct linger`: enabled, 0 s
 _LAST_DATA_RECEIVED = struct.Struct("52xI")  # `tcpi_last_data_recv` of `struct tcp_info`, tcp(7)
@@ -28,6 +30,12 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
+def limit_send_buffer(sock: socket.socket) -> None:
+    """Limit the kernel's memory for unread data; connections that a listener accepts inherit the limit."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+
+
 def configure_stream(sock: socket.socket) -> None:
     """Send small writes without delay, and have each send and receive time out after `SEND_TIMEOUT`."""
     disable_send_delay(sock)
--- a/tansyladder/net/upstream.py
+++ b/tansyladder/net/upstream.py
@@ -158,6 +158,7 @@
         sock: socket.socket | None = None
         try:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)  # fails if no descriptor is free
+            sockets.limit_send_buffer(sock)
             result = (
                 self._wait_until_connected(sock, deadline, client, actions)
                 or _result_of_client(client)
--- a/tansyladder/node/client_listener.py
+++ b/tansyladder/node/client_listener.py
@@ -12,7 +12,7 @@
 from tansyladder.config.platform import Address, EndpointList
 from tansyladder.log import LogEvent, log
 from tansyladder.log_events import ClientRejectionReason, LineSource
-from tansyladder.net import protocol
+from tansyladder.net import protocol, sockets
 from tansyladder.net.handover_messages import ConnectionState, DescriptorSplit
 from tansyladder.net.listener_handover import ListenerHandover
 from tansyladder.net.protocol import RESUME_TOKEN_FIELD, Opening
@@ -73,6 +73,7 @@
         self._listener = self._handover.request_listener() or socket.create_server(
             context.configuration.config.listen, backlog=LISTEN_BACKLOG, reuse_port=True
         )
+        sockets.limit_send_buffer(self._listener)
         self._acceptor = ConnectionAcceptor(self._listener, self._admission.max_pending, self)
         self._acceptor_thread = threading.Thread(target=self._acceptor.run, name="admission", daemon=True)
         self.drainer = ConnectionDrainer(context, lambda: self.active_count)
--- a/tests/node/test_client_floods.py
+++ b/tests/node/test_client_floods.py
@@ -6,12 +6,20 @@
 import signal
 import socket
 import string
+import threading
 from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
-from tests.node.harness import Peer, ScriptedServer, answer_up, read_until_closed, unique_id
+from tests.node.harness import (
+    Peer,
+    ScriptedServer,
+    answer_up,
+    read_until_closed,
+    running_node,
+    unique_id,
+)
 from tests.node.program import program_started_again, read_log_until, running_program
 
 # The smallest limit for this number of descriptors on the platform's days at full size.
@@ -19,6 +27,8 @@
 LIMITS = {"cores": 1.0, "memory_mb": MEMORY_LIMIT_MB, "sockets": 640}
 CLIENT_COUNT = 240  # nearly all that the descriptors allow
 LINE_BYTES = 4000
+# What each of these clients may cost if the node is to stay within its limit, in the kernel as well.
+BYTES_FOR_EACH_CLIENT = (MEMORY_LIMIT_MB << 20) // CLIENT_COUNT
 
 
 def short_fields() -> Iterator[str]:
@@ -78,3 +88,29 @@
             assert peak_mb < MEMORY_LIMIT_MB
             for client in clients:
                 client.close()
+
+
+def test_the_kernel_holds_little_for_a_client_that_does_not_read(tmp_path: Path) -> None:
+    """Guards against docs/incidents/2026-12-07-unread-data-fills-the-memory.md: 1.6 MB for each client."""
+    sent_bytes = 0
+    has_stopped = threading.Event()
+
+    def send_until_full(peer: Peer) -> None:
+        nonlocal sent_bytes
+        peer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, LINE_BYTES)
+        peer.sock.settimeout(1)
+        try:
+            while True:
+                sent_bytes += peer.sock.send(b"x" * 98 + b"\r\n")
+        except TimeoutError:
+            has_stopped.set()
+        read_until_closed(peer)
+
+    with running_node(tmp_path, ScriptedServer(answer_up(send_until_full))) as node:
+        client = node.connect()
+        client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, LINE_BYTES)
+        client.send_lines(f"OPEN {unique_id()} 7f c=chat,d=1200,g=5c")
+        assert client.read_line() == "UP r1"
+        assert has_stopped.wait(30)
+        assert sent_bytes < BYTES_FOR_EACH_CLIENT
+        client.close()
