A client that has left before its request is admitted costs no thread

What callers saw (played on real processes): while one client connected, sent a first line under a new id and left, some 1,000 times a second, the others were answered after 0.70 s in the mean and 1.54 s at worst; 2 ms are usual.

Cause: the acceptor started a thread for each of these requests and registered it with the policy before the handler found that its client had left. The others waited in the listener's queue.

Change: the acceptor checks whether the client has left before it admits its request, and counts it as left.

Floods on one established connection did not show the picture (others within 50 ms); their test passed before as well.

--- a/tansyladder/node/client_listener.py
+++ b/tansyladder/node/client_listener.py
@@ -124,6 +124,10 @@
         else:
             self._metrics.record_outcome(class_name, RequestOutcome.REJECTED)
 
+    def record_departure(self, opening: Opening) -> None:
+        """Count a request whose client had disconnected before it could be admitted."""
+        self._metrics.record_outcome(opening.class_name, RequestOutcome.CLIENT_LEFT)
+
     def admit(
         self, sock: socket.socket, opening: Opening, arrived_at: timedelta, release_socket: Callable[[], None]
     ) -> bytes:
--- a/tansyladder/node/pending_connections.py
+++ b/tansyladder/node/pending_connections.py
@@ -53,6 +53,9 @@
     def record_rejection(self, line: bytes) -> None:
         """Count a request that was rejected before it was parsed."""
 
+    def record_departure(self, opening: protocol.Opening) -> None:
+        """Count a request whose client had disconnected before it could be admitted."""
+
 
 class PendingState(Enum):
     """What a pending connection is waiting for; a state is entered only from those listed before it."""
@@ -287,6 +290,15 @@
             self.close(connection)
 
     def _admit(self, connection: PendingConnection, opening: protocol.Opening, arrived_at: timedelta) -> None:
+        """Have a request served or rejected, unless its client has disconnected already.
+
+        Such a request is not worth a thread: one client that connects and leaves at full speed would
+        otherwise keep all others waiting in the listener's queue.
+        """
+        if sockets.is_disconnected(connection.sock):
+            self._admitter.record_departure(opening)
+            self.close(connection)
+            return
         answer = self._admitter.admit(connection.sock, opening, arrived_at, lambda: self._release(connection))
         if answer:
             self.answer_and_shutdown(connection, answer)
--- a/tests/node/test_client_floods.py
+++ b/tests/node/test_client_floods.py
@@ -7,20 +7,26 @@
 import socket
 import string
 import threading
+import time
 from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
+from tansyladder.policy.events import RequestReceived
 from tests.node.harness import (
+    Node,
+    NodeComponents,
     Peer,
     ScriptedServer,
     answer_up,
+    endpoint_entry,
+    load_test_config,
     read_until_closed,
     running_node,
     unique_id,
 )
-from tests.node.program import program_started_again, read_log_until, running_program
+from tests.node.program import connect_client, program_started_again, read_log_until, running_program
 
 # The smallest limit for this number of descriptors on the platform's days at full size.
 MEMORY_LIMIT_MB = 80
@@ -29,6 +35,8 @@
 LINE_BYTES = 4000
 # What each of these clients may cost if the node is to stay within its limit, in the kernel as well.
 BYTES_FOR_EACH_CLIENT = (MEMORY_LIMIT_MB << 20) // CLIENT_COUNT
+FLOOD_SECONDS = 2.0
+DEPARTED_COUNT = 100
 
 
 def short_fields() -> Iterator[str]:
@@ -114,3 +122,59 @@
         assert has_stopped.wait(30)
         assert sent_bytes < BYTES_FOR_EACH_CLIENT
         client.close()
+
+
+def test_clients_that_have_left_before_they_are_admitted_cost_no_thread(tmp_path: Path) -> None:
+    """Guards against docs/incidents/2026-12-07-departed-clients-keep-others-waiting.md.
+
+    One client that opened connections and left, at full speed, kept the others waiting for up to 1.5 s.
+    """
+    host = ScriptedServer(answer_up(read_until_closed))
+    components = NodeComponents(load_test_config(tmp_path, endpoint_entry("s0", host.address)))
+    listener = components.new_listener()
+    components.start()
+    node = Node(components, listener)
+    for _ in range(DEPARTED_COUNT):
+        node.open(key=unique_id()).close()
+    listener.start()
+    assert node.open().read_line() == "UP r1"
+    assert len(node.runner.events_of(RequestReceived)) == 1
+    assert node.metrics.total_counts()["left"] == DEPARTED_COUNT
+
+
+@pytest.mark.parametrize("line", [b"\r\n", b"x\r\n", b"OPEN 1 7f c=none,d=1\r\n"])
+def test_a_flood_on_one_connection_keeps_no_other_client_waiting(tmp_path: Path, line: bytes) -> None:
+    """Each of the others is answered before it gives up, and the memory does not grow with the flood."""
+    hosts = [ScriptedServer(answer_up(discard)) for _ in range(3)]
+    with running_program(tmp_path, hosts) as (process, port):
+        flooding = connect_client(port)
+        assert flooding.read_line() == "UP r1"
+        memory_before_mb = used_memory_mb(process.pid)
+        end = time.monotonic() + FLOOD_SECONDS
+        flood = threading.Thread(target=send_until, args=(flooding, line, end))
+        flood.start()
+        answer_count = 0
+        while time.monotonic() < end:
+            client = connect_client(port, unique_id())
+            assert client.read_line() == "UP r1"
+            client.close()
+            answer_count += 1
+        flood.join()
+        assert answer_count > 1
+        assert used_memory_mb(process.pid) - memory_before_mb < BYTES_FOR_EACH_CLIENT / (1 << 20) * 10
+        flooding.close()
+
+
+def discard(peer: Peer) -> None:
+    """A script that reads until the other side closes, whatever is sent."""
+    while peer.sock.recv(1 << 16):
+        pass
+
+
+def send_until(client: Peer, line: bytes, end: float) -> None:
+    """Send a line again and again until a time of the monotonic clock, or until the connection ends."""
+    try:
+        while time.monotonic() < end:
+            client.sock.sendall(line * 500)
+    except OSError:
+        pass
