The relay notices the end of a client whose lines are still unread

Cause: the relay watches a client only while the endpoint accepts data, and the kernel hands out what arrived before a reset.

Change: the client's end is watched all the time. A reset ends the connection and resets the endpoint's; after an ordinary end the last lines are forwarded for HALF_CLOSED_TIMEOUT at most.

--- a/tansyladder/net/relay.py
+++ b/tansyladder/net/relay.py
@@ -65,6 +65,7 @@
         self._handover = handover
         self._response_timeout = self._monitor.response_timeout
         self._half_closed_deadline: timedelta | None = None  # set when the first side ends
+        self._has_client_left = False  # True once the client has ended its half, even if its lines are unread
         self._final_status: AttemptStatus | None = None  # set once no more lines are forwarded
 
     def wake(self) -> None:
@@ -101,6 +102,8 @@
             if self._end_if_needed():
                 break
             ready = self._wait()
+            if self._final_status is not None:
+                break
             if self._handover.fileno() in ready and self._connection.outcome is None and self._hand_over():
                 return AttemptStatus.CANCELLED
             for source, destination in self._connection.directions:
@@ -123,6 +126,8 @@
             self._final_status = self._end_with_move(AttemptStatus.CANCELLED)
             return True
         if self._half_closed_deadline is not None and now() >= self._half_closed_deadline:
+            if self._has_client_left and (self._client.is_open or self._upstream.unsent):
+                self._end_with_reset(self._client)  # the endpoint must not take its lines for complete
             return True
         if self._response_timeout.check_silent() and self._connection.outcome is None:
             log(LogEvent.ENDPOINT_SILENT, endpoint=self._endpoint_id)
@@ -138,7 +143,8 @@
     def _wait(self) -> set[int]:
         """Wait until a descriptor can be read or written; return the descriptors that are ready.
 
-        A side is read only while the other side has no unsent bytes: a fast sender gets backpressure.
+        A side is read only while the other side has no unsent bytes: a fast sender gets backpressure. The end
+        of the client is noticed all the same, although its lines are still unread.
         """
         poll = select.poll()
         if self._connection.outcome is None:
@@ -146,10 +152,27 @@
         for source, destination in self._connection.directions:
             events = select.POLLIN if source.is_open and not destination.unsent else 0
             events |= select.POLLOUT if source.unsent else 0
+            if source is self._client and self._half_closed_deadline is None:
+                events |= select.POLLRDHUP
             if events:
                 poll.register(source.descriptor, events)
         interval = OVERDUE_INTERVAL if self._response_timeout.is_waiting else IDLE_INTERVAL
-        return sockets.poll_until(poll, self._half_closed_deadline or now() + interval)
+        deadline = self._half_closed_deadline or now() + interval
+        events_by_descriptor = sockets.poll_events_until(poll, deadline)
+        self._check_client(events_by_descriptor.get(self._client.descriptor, 0))
+        return set(events_by_descriptor)
+
+    def _check_client(self, events: int) -> None:
+        """End the connection if the client has reset it; limit the time for its last lines if it has left.
+
+        The kernel keeps what the client sent before its end, and hands it out even after a reset.
+        """
+        if events & select.POLLERR and self._connection.outcome is None:
+            self._end_with_reset(self._client)
+        elif events & select.POLLRDHUP:
+            self._has_client_left = True
+            if self._half_closed_deadline is None:
+                self._half_closed_deadline = now() + HALF_CLOSED_TIMEOUT
 
     def _relay_direction(self, source: RelaySide, destination: RelaySide, ready: set[int]) -> bool:
         """Flush the bytes pending for `source`, forward what it sent; return False to end this round."""
--- a/tansyladder/net/sockets.py
+++ b/tansyladder/net/sockets.py
@@ -42,9 +42,14 @@
     sock.settimeout(SEND_TIMEOUT.total_seconds())
 
 
+def poll_events_until(poll: select.poll, deadline: timedelta) -> dict[int, int]:
+    """Wait on the registered descriptors; return the events of those that are ready, none at the deadline."""
+    return dict(poll.poll(milliseconds_left(deadline)))
+
+
 def poll_until(poll: select.poll, deadline: timedelta) -> set[int]:
     """Wait on the registered descriptors; return those that are ready, none if the deadline passes."""
-    return {fd for fd, _ in poll.poll(milliseconds_left(deadline))}
+    return set(poll_events_until(poll, deadline))
 
 
 def wait_readable(deadline: timedelta, *fds: int) -> set[int]:
