A request that may have been executed is not executed again under its id

What callers saw (played on real processes): an id of a class that is not idempotent was executed again when its client came again after it had left or was served, and by the other process of an upgrade; there also two attempts at once, in all classes.

Cause: an id was rejected only while its connection was open in the same process.

While two processes run, they share open and executed ids in a folder of $TMPDIR, from before the listener is sent until one process is left.

--- a/tansyladder/net/handover_messages.py
+++ b/tansyladder/net/handover_messages.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import socket
+from pathlib import Path
 from typing import NamedTuple, Protocol
 
 import msgspec
@@ -66,6 +67,12 @@
     def discovery_address(self) -> Address:
         """Return the address of discovery that this process was configured with last."""
 
+    def share_request_ids(self, folder: Path) -> None:
+        """Share the ids of requests through a folder, before another process accepts clients."""
+
+    def on_alone(self) -> None:
+        """Stop sharing the ids of requests, as no other process of this node runs any more."""
+
     def on_successor_serving(self) -> None:
         """Leave the listener's queue to the successor, which accepts clients from it now."""
 
--- a/tansyladder/net/handover_sockets.py
+++ b/tansyladder/net/handover_sockets.py
@@ -25,7 +25,9 @@
     def __init__(self, listen: Address, folder: str) -> None:
         """`listen`: the clients' address, which a node's processes share; `folder`: private to the node."""
         self._folder = folder
-        self._name = "tansyladder-{}-{}.sock".format(*listen)
+        base_name = "tansyladder-{}-{}".format(*listen)
+        self._name = f"{base_name}.sock"
+        self.request_id_folder = Path(folder) / f"{base_name}.ids"  # where processes share request ids
 
     def connect(self, sock: socket.socket) -> None:
         """Connect a socket to the process that listens on the path.
@@ -73,6 +75,7 @@
             OSError: The folder does not exist or is not writable.
         """
         self._address = address
+        self.request_id_folder = address.request_id_folder
         self.listener = address.bind()
         self.is_stopped = False
 
--- a/tansyladder/net/handover_thread.py
+++ b/tansyladder/net/handover_thread.py
@@ -104,6 +104,7 @@
             self._predecessor = None
             self._lifecycle.predecessor_exited()
             log(LogEvent.LISTENER_HANDOVER, step=HandoverStep.PREDECESSOR_EXITED)
+            self._notify_if_alone()
             return
         client, upstream = (socket.socket(fileno=descriptor) for descriptor in descriptors)
         self._lifecycle.connection_received()
@@ -129,6 +130,7 @@
             self._drop_successor(successor)
 
     def _share_listener(self, successor: socket.socket) -> None:
+        self._owner.share_request_ids(self._address.request_id_folder)
         split = self._owner.split_descriptors()
         self._lifecycle.listener_sent(split.released_count)
         transfer = DescriptorTransfer(
@@ -146,3 +148,9 @@
                 self._owner.on_successor_lost()
         if not self._successors.sockets():
             self._lifecycle.successors_disconnected()
+            self._notify_if_alone()
+
+    def _notify_if_alone(self) -> None:
+        """Notify the owner if no other process is connected any more."""
+        if self._predecessor is None and not self._successors.sockets():
+            self._owner.on_alone()
--- a/tansyladder/net/listener_handover.py
+++ b/tansyladder/net/listener_handover.py
@@ -16,6 +16,7 @@
 import os
 import socket
 import threading
+from pathlib import Path
 from typing import NamedTuple
 
 import msgspec
@@ -90,6 +91,13 @@
         log(LogEvent.LISTENER_HANDOVER, step=HandoverStep.LISTENER_RECEIVED)
         return listener
 
+    @property
+    def request_id_folder(self) -> Path | None:
+        """The folder through which this process and its predecessor share request ids; None without one."""
+        if self._address is None or not self.is_predecessor_running:
+            return None
+        return self._address.request_id_folder
+
     @property
     def is_predecessor_running(self) -> bool:
         """Whether the predecessor still runs."""
--- a/tansyladder/node/admission_control.py
+++ b/tansyladder/node/admission_control.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+import os
 import threading
 from datetime import timedelta
+from pathlib import Path
 from typing import TYPE_CHECKING
 
+from tansyladder.log import LogEvent, log
 from tansyladder.net import protocol
 from tansyladder.net.clock import MICROSECOND
 from tansyladder.net.handover_messages import DescriptorSplit
 from tansyladder.net.listener_handover import ListenerHandover
 from tansyladder.net.protocol import TENANT_FIELD, Opening
 from tansyladder.node.context import NodeContext
+from tansyladder.node.request_ids import RequestIdError, RequestIds
+from tansyladder.policy.retry_safety import may_use_id_again
 
 if TYPE_CHECKING:  # imported for annotations only, which makes a start faster
     from tansyladder.node.extension_points import SessionService
@@ -31,7 +36,8 @@
 class AdmissionControl:
     """Counts the connections that are served, and admits more while descriptors are left.
 
-    Thread-safe: `_lock` guards `_open_ids`, and nothing else is called while it is held.
+    Thread-safe: `_lock` guards `_open_ids`, and nothing else is called while it is held. The request ids are
+    claimed and released by the thread that has the id in `_open_ids`.
     """
 
     def __init__(
@@ -50,6 +56,7 @@
         self._session_service = session_service
         self._lock = threading.Lock()
         self._open_ids: set[str] = set()  # ids of the connections that are served
+        self._request_ids = RequestIds(self._copy_open_ids)
         config = context.configuration.config
         limits = config.limits
         self.max_pending = max(MIN_PENDING, min(MAX_PENDING, limits.sockets // MAX_PENDING_DIVISOR))
@@ -82,7 +89,28 @@
         if tenants and tenant not in tenants:
             raise protocol.LineError(f"t: unknown tenant {(tenant or '')[:MAX_SHOWN_CHARACTERS]!r}")
 
-    def reserve(self, connection_id: str) -> bool:
+    def reserve(self, opening: Opening) -> bool:
+        """Count a connection as served; return False if the limit is reached.
+
+        Raises:
+            LineError: A connection with this id is open already, or the request with this id may have been
+                executed and must not be executed again.
+        """
+        connection_id = opening.connection_id
+        if not self._count(connection_id):
+            return False
+        try:
+            self._request_ids.claim(connection_id, may_use_again=self._may_use_id_again(opening))
+        except RequestIdError as err:
+            self._discard(connection_id)
+            raise protocol.LineError(f"id: {err}") from err
+        except OSError as err:  # the other process might have the same id
+            self._discard(connection_id)
+            log(LogEvent.LISTENER_HANDOVER_FAILED, error=err)
+            return False
+        return True
+
+    def _count(self, connection_id: str) -> bool:
         """Count a connection as served; return False if the limit is reached.
 
         Raises:
@@ -106,8 +134,42 @@
         with self._lock:
             self._open_ids.add(connection_id)
 
-    def release(self, connection_id: str) -> None:
-        """Stop counting a connection, which has ended."""
+    def release(self, opening: Opening, *, is_executed: bool) -> None:
+        """Stop counting a connection, which has ended; `is_executed`: an endpoint may have executed it."""
+        is_unrepeatable = is_executed and not self._may_use_id_again(opening)
+        try:
+            self._request_ids.release(opening.connection_id, is_executed=is_unrepeatable)
+        except OSError as err:
+            log(LogEvent.LISTENER_HANDOVER_FAILED, error=err)
+        finally:
+            self._discard(opening.connection_id)
+
+    def share_ids(self, folder: Path) -> None:
+        """Share the ids of requests with another process of this node.
+
+        Raises:
+            OSError: The folder can't be written.
+        """
+        self._request_ids.begin_sharing(folder, process_name=str(os.getpid()))
+
+    def stop_sharing_ids(self) -> None:
+        """Take over the ids of the other processes of this node, which have ended.
+
+        Raises:
+            OSError: The shared folder can't be read.
+        """
+        self._request_ids.end_sharing()
+
+    def _may_use_id_again(self, opening: Opening) -> bool:
+        """Return whether a request of this class may be executed again; False if the class is unknown."""
+        number = self._configuration.class_numbers.get(opening.class_name)
+        return number is not None and may_use_id_again(self._configuration.settings.classes[number])
+
+    def _copy_open_ids(self) -> list[str]:
+        with self._lock:
+            return list(self._open_ids)
+
+    def _discard(self, connection_id: str) -> None:
         with self._lock:
             self._open_ids.discard(connection_id)
 
--- a/tansyladder/node/attempt_loop.py
+++ b/tansyladder/node/attempt_loop.py
@@ -48,6 +48,7 @@
     client: socket.socket | None = None  # its disconnect ends the loop; None: no client is watched
     response_line_count: int = 1  # number of lines in an endpoint's complete answer
     is_acceptable: Callable[[ConnectResult], bool] = lambda _: True  # else the connection is closed again
+    may_have_been_executed: bool = False  # whether an endpoint may have executed the first line of an attempt
 
     def run(self, request: RequestReceived) -> AttemptLoopResult:
         """Pass the request to the policy; make attempts until its connection is established or it ends."""
@@ -73,6 +74,7 @@
         """Make one attempt; return None if it failed and the policy decides what to do next."""
         policy = self.context.policy
         endpoint = policy.endpoint(action.endpoint_id)
+        was_executed_before = self.may_have_been_executed
         started = now()
         connector = UpstreamConnector(
             endpoint,
@@ -83,6 +85,8 @@
             self.response_line_count,
         )
         result = connector.open(self.client, self.action_queue)
+        if result.status.proves_not_executed:
+            self.may_have_been_executed = was_executed_before
         duration_us = (now() - started) // MICROSECOND
         if result.sock is not None and result.buffer is not None:
             if self.is_acceptable(result):
@@ -124,6 +128,8 @@
             self.context.policy.handle_events(ended)
 
     def _record_attempt(self) -> None:
+        """Record that the line of an attempt was sent."""
+        self.may_have_been_executed = True
         self.context.metrics.record_attempt(self.class_name)
 
     def _next_action(self) -> QueuedAction | ClientEnd:
--- a/tansyladder/node/client_listener.py
+++ b/tansyladder/node/client_listener.py
@@ -7,6 +7,7 @@
 import threading
 from collections.abc import Callable
 from datetime import timedelta
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 from tansyladder.config.platform import Address, EndpointList
@@ -74,6 +75,8 @@
             context.configuration.config.listen, backlog=LISTEN_BACKLOG, reuse_port=True
         )
         sockets.limit_send_buffer(self._listener)
+        if (folder := self._handover.request_id_folder) is not None:
+            self.share_request_ids(folder)
         self._acceptor = ConnectionAcceptor(self._listener, self._admission.max_pending, self)
         self._acceptor_thread = threading.Thread(target=self._acceptor.run, name="admission", daemon=True)
         self.drainer = ConnectionDrainer(context, lambda: self.active_count)
@@ -152,13 +155,13 @@
             return self._session_service.resume(sock, opening, arrived_at, release_socket)
         if not self._lifecycle.accepts_requests:
             return protocol.format_reject(self.retry_after)
-        if not self._admission.reserve(opening.connection_id):
+        if not self._admission.reserve(opening):
             log(LogEvent.CLIENT_REJECTED, reason=ClientRejectionReason.CONNECTION_LIMIT)
             return protocol.format_reject(self.retry_after)
         try:
             self._threads.serve(sock, opening, arrived_at, release_socket)
         except RuntimeError as err:  # the system can't start another thread
-            self._admission.release(opening.connection_id)
+            self._admission.release(opening, is_executed=False)
             log(LogEvent.CLIENT_REJECTED, reason=ClientRejectionReason.THREAD_LIMIT, error=err)
             return protocol.format_reject(self.retry_after)
         return b""
@@ -190,6 +193,20 @@
                 client.send(protocol.MOVE + b"\r\n", socket.MSG_DONTWAIT)
             client.close()
 
+    def share_request_ids(self, folder: Path) -> None:
+        """Share the ids of requests with another process of this node; log if that fails."""
+        try:
+            self._admission.share_ids(folder)
+        except OSError as err:
+            log(LogEvent.LISTENER_HANDOVER_FAILED, error=err)
+
+    def on_alone(self) -> None:
+        """Stop sharing the ids of requests, as no other process of this node runs."""
+        try:
+            self._admission.stop_sharing_ids()
+        except OSError as err:
+            log(LogEvent.LISTENER_HANDOVER_FAILED, error=err)
+
     def on_successor_serving(self) -> None:
         """Leave the listener's queue to the next process, if this one is draining."""
         if self._lifecycle.state is NodeState.DRAINING:
--- a/tansyladder/node/connection_handler.py
+++ b/tansyladder/node/connection_handler.py
@@ -41,6 +41,7 @@
         self._action_queue = ActionQueue()
         self._request_id = 0  # until the request is registered
         self._is_answered = False  # whether the client has its final answer or has left
+        self.may_have_been_executed = False  # whether an endpoint may have executed the first line
 
     @abstractmethod
     def _serve(self) -> None:
--- a/tansyladder/node/connection_threads.py
+++ b/tansyladder/node/connection_threads.py
@@ -58,7 +58,7 @@
         sockets.configure_stream(upstream)
         self._admission.add(opening.connection_id)
         handler = AdoptedConnectionHandler(self._services, client, opening, upstream, state)
-        self._start(self._serve, handler, opening.connection_id)
+        self._start(self._serve, handler, opening)
 
     @staticmethod
     def _start(target: Callable[..., None], *args: object) -> None:
@@ -69,7 +69,7 @@
     ) -> None:
         with release_lock:
             pass
-        self._serve(self._build_handler(sock, opening, arrived_at), opening.connection_id)
+        self._serve(self._build_handler(sock, opening, arrived_at), opening)
 
     def _build_handler(
         self, sock: socket.socket, opening: Opening, arrived_at: timedelta
@@ -80,9 +80,9 @@
             return RequestHandler(self._services, sock, opening, deadline)
         return RestoredConnectionHandler(self._services, sock, opening, deadline, opening.endpoint_id)
 
-    def _serve(self, handler: ConnectionHandler, connection_id: str) -> None:
+    def _serve(self, handler: ConnectionHandler, opening: Opening) -> None:
         """Serve a connection to its end, and release its admission."""
         try:
             handler.run()
         finally:
-            self._admission.release(connection_id)
+            self._admission.release(opening, is_executed=handler.may_have_been_executed)
--- a/tansyladder/node/existing_connections.py
+++ b/tansyladder/node/existing_connections.py
@@ -66,6 +66,7 @@
         self._upstream = upstream
         self._state = state
         self._is_answered = True  # by the predecessor
+        self.may_have_been_executed = True
 
     def _serve(self) -> None:
         endpoint = self._context.policy.endpoint_by_id(self._state.endpoint_id)
@@ -125,6 +126,7 @@
         if result.client_end is ClientEnd.DISCONNECTED:
             self._answer(RequestOutcome.CLIENT_LEFT)
         elif self._may_client_repeat():
+            self.may_have_been_executed = False  # the client is asked to repeat its request
             self._answer(RequestOutcome.REJECTED, format_reject(RETRY_AFTER))
         else:
             self._answer(RequestOutcome.FAILED, protocol.ERR + b"\r\n")
@@ -150,6 +152,8 @@
                 self._record_attempt,
             )
             result = connector.open(self._client, self._action_queue)
+            if not result.status.proves_not_executed:
+                self.may_have_been_executed = True
             if result.sock is not None or result.client_end is ClientEnd.DISCONNECTED:
                 return result
             if self._first_sent_at_us is None and not result.status.proves_not_executed:
--- a/tansyladder/node/request_handler.py
+++ b/tansyladder/node/request_handler.py
@@ -77,7 +77,10 @@
             self._deadline,
             is_reconnect=self._opening.is_reconnect,
         )
-        result = attempt_loop.run(request)
+        try:
+            result = attempt_loop.run(request)
+        finally:
+            self.may_have_been_executed = attempt_loop.may_have_been_executed
         if isinstance(result, UpstreamConnection):
             self._answer(RequestOutcome.OK)  # the relay or the session sends the endpoint's UP
             return result
@@ -89,6 +92,7 @@
         match result:
             case Reject():
                 answer = format_reject(result.retry_after_us * MICROSECOND)
+                self.may_have_been_executed = False  # the policy asks the client to repeat its request
                 self._answer(RequestOutcome.REJECTED, answer)
             case Fail():
                 self._answer(RequestOutcome.FAILED, protocol.ERR + b"\r\n")
--- a/tansyladder/policy/retry_safety.py
+++ b/tansyladder/policy/retry_safety.py
@@ -14,6 +14,9 @@
 A rejection asks the client to repeat its request, at any endpoint. For requests with an idempotency key it is
 therefore safe only if all endpoints share their keys, and if the window is not over by the time that the
 rejection's Retry-After names. Whether the client waits longer is not known.
+
+A client may also use the id of an earlier request again. The node then knows neither the time nor the
+endpoint of that request's attempts, so only an idempotent one is executed again.
 """
 
 from __future__ import annotations
@@ -52,6 +55,11 @@
     return is_known_everywhere and may_execute_again(class_settings, first_sent_at, repeated_at)
 
 
+def may_use_id_again(class_settings: ClassSettings) -> bool:
+    """Return whether a request may be executed although one with the same id may have been executed."""
+    return class_settings.idempotency is Idempotency.IDEMPOTENT
+
+
 def send_deadline(class_settings: ClassSettings, first_sent_at: int | None) -> int | None:
     """Return the time before which an attempt that is safe now must be sent; None if it stays safe."""
     if first_sent_at is None or class_settings.idempotency is Idempotency.IDEMPOTENT:
--- a/tests/formats/test_handover_formats.py
+++ b/tests/formats/test_handover_formats.py
@@ -128,6 +128,8 @@
     def __init__(self, folder: Path, listener: socket.socket) -> None:
         self.has_successor = threading.Event()
         self.is_accepting_again = threading.Event()
+        self.is_alone = threading.Event()
+        self.request_id_folder: Path | None = None
         self.handover = ListenerHandover(ADDRESS, str(folder))
         stop_at_end_of_test(self.handover.stop)
         self.handover.serve(listener, self)
@@ -141,6 +143,12 @@
     def discovery_address(self) -> Address:
         return DISCOVERY
 
+    def share_request_ids(self, folder: Path) -> None:
+        self.request_id_folder = folder
+
+    def on_alone(self) -> None:
+        self.is_alone.set()
+
     def on_successor_serving(self) -> None:
         self.has_successor.set()
 
@@ -166,6 +174,7 @@
             successor.sendall(b"TAKE 1")
             received, descriptors, _, _ = socket.recv_fds(successor, MAX_MESSAGE_BYTES, 4)
             assert (received, len(descriptors)) == (written("listener_discovery"), 1)
+            assert running.request_id_folder == tmp_path / "tansyladder-127.0.0.1-4711.ids"
             known_to_earlier_build = msgspec.json.decode(received)
             del known_to_earlier_build["discovery"]
             assert known_to_earlier_build == msgspec.json.decode(written("listener"))
@@ -180,3 +189,4 @@
                 first.sendall(b"from the client's end")
                 assert endpoint.recv(64) == b"from the client's end"
         assert running.is_accepting_again.wait(5)
+        assert running.is_alone.wait(5)
--- a/tests/net/test_listener_handover.py
+++ b/tests/net/test_listener_handover.py
@@ -18,6 +18,7 @@
 from tansyladder.config.platform import Address
 from tansyladder.net import handover_messages, listener_handover
 from tansyladder.net.listener_handover import ListenerHandover
+from tansyladder.net.protocol import parse_opening
 from tests.node.harness import (
     NodeComponents,
     Peer,
@@ -242,7 +243,8 @@
     assert busy.retained_count - idle.retained_count == 90 - released_less
     assert released_less > 0
     for number in range(30):
-        old._admission.release(str(number))  # noqa: SLF001
+        opening = parse_opening(f"OPEN {number} 7f c=chat,d=1200\r\n".encode())
+        old._admission.release(opening, is_executed=False)  # noqa: SLF001
 
 
 def test_an_unknown_process_at_the_handover_socket_gets_no_listener(
--- a/tests/node/program.py
+++ b/tests/node/program.py
@@ -96,8 +96,8 @@
             process.kill()
 
 
-def connect_client(port: int, key: str = "7f") -> Peer:
-    """Connect a client to the program and send a valid first line."""
+def connect_client(port: int, key: str = "7f", connection_id: str = "") -> Peer:
+    """Connect a client to the program and send a valid first line; without `connection_id` with a new id."""
     client = Peer(socket.create_connection(("127.0.0.1", port), 5))
-    client.send_lines(f"OPEN {unique_id()} {key} c=chat,d=1200,g=5c")
+    client.send_lines(f"OPEN {connection_id or unique_id()} {key} c=chat,d=1200,g=5c")
     return client
