Split what has grown: the handover's owner, the calls to discovery, the relay's registration

Change: HandoverOwner is what other processes of the node take from and give to this one; it was a part of ClientListener. DiscoveryCalls makes the two calls and decodes their lists. RelayedConnection registers its sides for a poll. No behaviour is changed; a test reaches the owner through its new attribute.

--- a/tansyladder/net/relay.py
+++ b/tansyladder/net/relay.py
@@ -141,21 +141,11 @@
         return True
 
     def _wait(self) -> set[int]:
-        """Wait until a descriptor can be read or written; return the descriptors that are ready.
-
-        A side is read only while the other side has no unsent bytes: a fast sender gets backpressure. The end
-        of the client is noticed all the same, although its lines are still unread.
-        """
+        """Wait until a descriptor is ready or the client ends its half; return those that are ready."""
         poll = select.poll()
         if self._connection.outcome is None:
             poll.register(self._handover, select.POLLIN)
-        for source, destination in self._connection.directions:
-            events = select.POLLIN if source.is_open and not destination.unsent else 0
-            events |= select.POLLOUT if source.unsent else 0
-            if source is self._client and self._half_closed_deadline is None:
-                events |= select.POLLRDHUP
-            if events:
-                poll.register(source.descriptor, events)
+        self._connection.register(poll, watches_client_end=self._half_closed_deadline is None)
         interval = OVERDUE_INTERVAL if self._response_timeout.is_waiting else IDLE_INTERVAL
         deadline = self._half_closed_deadline or now() + interval
         events_by_descriptor = sockets.poll_events_until(poll, deadline)
--- a/tansyladder/net/relayed_connection.py
+++ b/tansyladder/net/relayed_connection.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import select
 import socket
 from collections.abc import Sequence
 
@@ -102,6 +103,19 @@
         """Return the other side."""
         return self.client if side is self.upstream else self.upstream
 
+    def register(self, poll: select.poll, *, watches_client_end: bool) -> None:
+        """Register the sides for what can be read or sent, and the client for its end if that is watched.
+
+        A side is read only while the other side has no unsent bytes: a fast sender gets backpressure.
+        """
+        for source, destination in self.directions:
+            events = select.POLLIN if source.is_open and not destination.unsent else 0
+            events |= select.POLLOUT if source.unsent else 0
+            if source is self.client and watches_client_end:
+                events |= select.POLLRDHUP
+            if events:
+                poll.register(source.descriptor, events)
+
     def record_end(self, side: RelaySide) -> None:
         """Set the outcome when a side ends; the first end determines it."""
         if self.outcome is not None:
--- a/tansyladder/node/client_listener.py
+++ b/tansyladder/node/client_listener.py
@@ -7,14 +7,12 @@
 import threading
 from collections.abc import Callable
 from datetime import timedelta
-from pathlib import Path
 from typing import TYPE_CHECKING
 
-from tansyladder.config.platform import Address, EndpointList
+from tansyladder.config.platform import Address
 from tansyladder.log import LogEvent, log
 from tansyladder.log_events import ClientRejectionReason, LineSource
 from tansyladder.net import protocol, sockets
-from tansyladder.net.handover_messages import ConnectionState, DescriptorSplit
 from tansyladder.net.listener_handover import ListenerHandover
 from tansyladder.net.protocol import RESUME_TOKEN_FIELD, Opening
 from tansyladder.node.admission_control import AdmissionControl
@@ -23,7 +21,7 @@
 from tansyladder.node.connection_threads import ConnectionThreads
 from tansyladder.node.context import ConnectionServices, NodeContext
 from tansyladder.node.decision_gate import DecisionGate
-from tansyladder.node.lifecycle import NodeState
+from tansyladder.node.handover_owner import HandoverOwner
 from tansyladder.node.metrics import RequestOutcome
 
 if TYPE_CHECKING:  # imported for annotations only, which makes a start faster
@@ -37,8 +35,8 @@
     """Accepts and admits clients on the acceptor's thread, then has each served on a thread of its own.
 
     It has no lock: the state that its threads share is in `AdmissionControl`, the acceptor and the policy
-    runner. The main thread calls `start`, `drain` and `stop_listening`; the handover's thread calls the
-    methods of `ConnectionOwner`; the acceptor's thread calls `admit` and the `record_` methods.
+    runner. The main thread calls `start`, `drain` and `stop_listening`; the acceptor's thread calls `admit`
+    and the `record_` methods.
     """
 
     def __init__(
@@ -59,7 +57,6 @@
         Raises:
             OSError: The node can't listen on the address.
         """
-        self._configuration = context.configuration
         self._policy = context.policy
         self._lifecycle = context.lifecycle
         self._metrics = context.metrics
@@ -75,9 +72,10 @@
             context.configuration.config.listen, backlog=LISTEN_BACKLOG, reuse_port=True
         )
         sockets.limit_send_buffer(self._listener)
-        if (folder := self._handover.request_id_folder) is not None:
-            self.share_request_ids(folder)
         self._acceptor = ConnectionAcceptor(self._listener, self._admission.max_pending, self)
+        self.handover_owner = HandoverOwner(context, self._admission, self._acceptor, self._threads)
+        if (folder := self._handover.request_id_folder) is not None:
+            self.handover_owner.share_request_ids(folder)
         self._acceptor_thread = threading.Thread(target=self._acceptor.run, name="admission", daemon=True)
         self.drainer = ConnectionDrainer(context, lambda: self.active_count)
 
@@ -110,7 +108,7 @@
         """Accept clients, and take over from the predecessor if there is one."""
         self._acceptor_thread.start()
         self._lifecycle.mark_started()
-        self._handover.serve(self._listener, self)
+        self._handover.serve(self._listener, self.handover_owner)
 
     # --- admission, on the acceptor's thread
 
@@ -166,57 +164,6 @@
             return protocol.format_reject(self.retry_after)
         return b""
 
-    # --- the handover between processes, as a ConnectionOwner
-
-    def split_descriptors(self) -> DescriptorSplit:
-        """Return how this process shares its descriptors with a successor."""
-        return self._admission.split_descriptors(self._acceptor.pending_count)
-
-    def known_endpoints(self) -> EndpointList:
-        """Return the endpoint list as this process knows it."""
-        return self._policy.endpoint_list()
-
-    def discovery_address(self) -> Address:
-        """Return the address of discovery that this process was configured with last."""
-        return self._configuration.config.discovery
-
-    def adopt_connection(
-        self, state: ConnectionState, client: socket.socket, upstream: socket.socket
-    ) -> None:
-        """Have a connection of the predecessor served, or end it if that fails."""
-        try:
-            self._threads.adopt(state, client, upstream)
-        except (protocol.LineError, RuntimeError) as err:  # RuntimeError: no thread could be started
-            log(LogEvent.CONNECTION_ADOPTION_FAILED, error=err)
-            upstream.close()
-            with contextlib.suppress(OSError):
-                client.send(protocol.MOVE + b"\r\n", socket.MSG_DONTWAIT)
-            client.close()
-
-    def share_request_ids(self, folder: Path) -> None:
-        """Share the ids of requests with another process of this node; log if that fails."""
-        try:
-            self._admission.share_ids(folder)
-        except OSError as err:
-            log(LogEvent.LISTENER_HANDOVER_FAILED, error=err)
-
-    def on_alone(self) -> None:
-        """Stop sharing the ids of requests, as no other process of this node runs."""
-        try:
-            self._admission.stop_sharing_ids()
-        except OSError as err:
-            log(LogEvent.LISTENER_HANDOVER_FAILED, error=err)
-
-    def on_successor_serving(self) -> None:
-        """Leave the listener's queue to the next process, if this one is draining."""
-        if self._lifecycle.state is NodeState.DRAINING:
-            self._acceptor.yield_queue()
-
-    def on_successor_lost(self) -> None:
-        """Accept clients from the listener's queue again, if this process is draining."""
-        if self._lifecycle.state is NodeState.DRAINING:
-            self._acceptor.reclaim_queue()
-
     # --- shutdown
 
     def drain(self) -> None:
--- a/tansyladder/node/discovery_addresses.py
+++ b/tansyladder/node/discovery_addresses.py
@@ -34,7 +34,9 @@
     def use_alternative(self) -> None:
         """Exchange the polled address and its alternative, if there is one."""
         if self._alternative is not None:
-            self.polled, self._alternative = self._alternative, self.polled
+            previous = self.polled
+            self.polled = self._alternative
+            self._alternative = previous
 
     def confirm(self) -> None:
         """Keep the polled address, which has answered, without an alternative."""
--- a/tansyladder/node/discovery_client.py
+++ b/tansyladder/node/discovery_client.py
@@ -8,16 +8,15 @@
 import threading
 from datetime import timedelta
 from enum import Enum
-from typing import TYPE_CHECKING, NamedTuple
-
-import msgspec
+from typing import TYPE_CHECKING
 
 from tansyladder.config.platform import Address, EndpointList
 from tansyladder.log import LogEvent, log
 from tansyladder.net.clock import MICROSECOND, now
-from tansyladder.net.http import HttpClient, HttpError, HttpTimeoutError
+from tansyladder.net.http import HttpClient
 from tansyladder.node.context import NodeContext
 from tansyladder.node.discovery_addresses import DiscoveryAddresses
+from tansyladder.node.discovery_calls import CallFailure, DiscoveryCalls
 from tansyladder.node.work_queues import WorkQueues
 from tansyladder.policy.events import ListUpdateKind
 
@@ -31,10 +30,8 @@
 POLL_TIMEOUT = timedelta(seconds=4.5)  # how long a poll asks discovery to wait for a change
 POLL_TIMEOUT_AFTER_FAILURE = timedelta(milliseconds=500)  # the same, in `PollState.SILENT`
 ANSWER_MARGIN = timedelta(milliseconds=750)  # for an answer to arrive, beyond the poll's timeout
-IMMEDIATE_ANSWER_TIMEOUT = timedelta(seconds=2)  # for the complete list; discovery queues calls
 # If the call interval is at most this, all nodes may call at the same time: discovery answers them in time.
 SIMULTANEOUS_CALL_INTERVAL = timedelta(seconds=1)
-CONNECT_TIMEOUT = timedelta(seconds=1)
 # All nodes learn of a new address at once, so their first calls to it are spread over at least this.
 MIN_FIRST_CALL_SPREAD = timedelta(milliseconds=250)
 MAX_RETRY_SPREAD = timedelta(seconds=1)  # the spread doubles up to this after failed calls
@@ -43,8 +40,6 @@
 AGENT_RETRY_INTERVAL = timedelta(milliseconds=50)
 # How long a start waits for an agent's list: the node has to know the lists that the agent has by then.
 FIRST_LIST_TIMEOUT = timedelta(milliseconds=300)
-ENDPOINT_LIST_PATH = "/v1/servers"
-MILLISECOND = timedelta(milliseconds=1)
 
 
 class PollState(Enum):
@@ -66,14 +61,6 @@
 }
 
 
-class CallFailure(NamedTuple):
-    """Why a call to discovery returned no list."""
-
-    error: str
-    is_timeout: bool = False
-    is_stale: bool = False  # the list that was sent is older than the known one
-
-
 class DiscoveryClient:
     """Polls discovery on one thread, from a request of the policy until a failure that the policy handles.
 
@@ -116,7 +103,7 @@
         self._first_answer = threading.Event()
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, name="discovery", daemon=True)
-        self._decoder = msgspec.json.Decoder(EndpointList)
+        self._calls = DiscoveryCalls()
 
     @property
     def _call_interval(self) -> timedelta:
@@ -195,12 +182,9 @@
             http.close()
             return True
         if isinstance(result, CallFailure):
-            log(
-                LogEvent.DISCOVERY_FAILED,
-                discovery="{}:{}".format(*http.address),
-                error=result.error,
-                duration_ms=now() - started,
-            )
+            address = "{}:{}".format(*http.address)
+            duration = now() - started
+            log(LogEvent.DISCOVERY_FAILED, discovery=address, error=result.error, duration_ms=duration)
             self._policy.record_discovery_call(failed=True)
             return self._handle_failure(http, result)
         if result.endpoints or result.complete:
@@ -216,23 +200,10 @@
     def _call(self, http: HttpClient, *, needs_snapshot: bool) -> EndpointList | CallFailure:
         """Request the complete list, or poll for the changes since the known list."""
         known_revision = self._policy.revision
-        poll_timeout = POLL_TIMEOUT_AFTER_FAILURE if self._state is PollState.SILENT else POLL_TIMEOUT
-        path = f"{ENDPOINT_LIST_PATH}?since={known_revision}&timeout_ms={poll_timeout // MILLISECOND}"
-        answer_timeout = poll_timeout + ANSWER_MARGIN
         if needs_snapshot:
-            path = ENDPOINT_LIST_PATH
-            answer_timeout = IMMEDIATE_ANSWER_TIMEOUT
-        try:
-            listed = self._decoder.decode(http.get(path, CONNECT_TIMEOUT, answer_timeout))
-        except (OSError, HttpError, msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as err:
-            http.close()
-            return CallFailure(str(err), is_timeout=isinstance(err, HttpTimeoutError))
-        if not listed.complete and listed.revision < known_revision:
-            http.close()
-            return CallFailure(
-                f"revision {listed.revision} is older than the known revision {known_revision}", is_stale=True
-            )
-        return listed
+            return self._calls.request_snapshot(http, known_revision)
+        poll_timeout = POLL_TIMEOUT_AFTER_FAILURE if self._state is PollState.SILENT else POLL_TIMEOUT
+        return self._calls.poll(http, known_revision, poll_timeout, poll_timeout + ANSWER_MARGIN)
 
     def _handle_list(self, http: HttpClient, listed: EndpointList) -> None:
         """Pass a list to the policy, unless the address has been switched meanwhile."""
--- a/tansyladder/node/request_ids.py
+++ b/tansyladder/node/request_ids.py
@@ -81,11 +81,11 @@
             return
         shared = SharedRequestIds(folder, process_name)
         self._shared = shared  # first: an id that is claimed from now on is shared by its claim
-        marked = [connection_id for connection_id in self._open_ids() if shared.claim(connection_id)]
+        newly_shared = [connection_id for connection_id in self._open_ids() if shared.claim(connection_id)]
         shared.write_log(self._known())
         still_open = set(self._open_ids())
-        for connection_id in marked:
-            if connection_id not in still_open:  # released before it was marked
+        for connection_id in newly_shared:
+            if connection_id not in still_open:  # released before it was shared
                 shared.release(connection_id)
         self._remember(shared.read_new_executed())
 
--- a/tests/net/test_listener_handover.py
+++ b/tests/net/test_listener_handover.py
@@ -233,12 +233,12 @@
     limits = {"cores": 1.0, "memory_mb": 192, "sockets": 200}
     components = NodeComponents(load_test_config(tmp_path, limits=limits))
     old = components.new_listener(ListenerHandover(Address("127.0.0.1", 1), str(tmp_path)))
-    idle = old.split_descriptors()
+    idle = old.handover_owner.split_descriptors()
     # Neither process gets the descriptors that are reserved for pending connections.
     assert 0 < idle.released_count < idle.retained_count < 200 - idle.released_count
     for number in range(30):
         old._admission.add(str(number))  # noqa: SLF001 - instead of 30 clients that wait for answers
-    busy = old.split_descriptors()
+    busy = old.handover_owner.split_descriptors()
     released_less = idle.released_count - busy.released_count
     assert busy.retained_count - idle.retained_count == 90 - released_less
     assert released_less > 0
@@ -253,8 +253,8 @@
     own_handover = handover(tmp_path, 1)
     listener = NodeComponents(load_test_config(tmp_path)).new_listener(own_handover)
     changed = threading.Event()
-    monkeypatch.setattr(listener, "on_successor_serving", changed.set)
-    monkeypatch.setattr(listener, "on_successor_lost", changed.set)
+    monkeypatch.setattr(listener.handover_owner, "on_successor_serving", changed.set)
+    monkeypatch.setattr(listener.handover_owner, "on_successor_lost", changed.set)
     listener.start()
     with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as sock:
         sock.settimeout(5)
