The test of ids in an upgrade waits until a process has stopped

Cause: beside a busy machine (load 9) 3 of 41 cases failed, twice, with a first line that never arrived. SIGSTOP is not in force when the signal has been sent: a thread of the process accepted the client before it stopped, and the client waited there. The test's fault, not the node's.

Change: the test waits for the stop of all threads (waitid, WSTOPPED); no assertion is changed. RequestIds reads its ids under its lock.

--- a/tansyladder/node/request_ids.py
+++ b/tansyladder/node/request_ids.py
@@ -49,7 +49,7 @@
             if not shared.claim(connection_id):
                 raise RequestIdError(f"connection {connection_id} is already open in another process")
             self._remember(shared.read_new_executed())
-        if not may_use_again and connection_id in self._executed:
+        if not may_use_again and self._is_executed(connection_id):
             if shared is not None:
                 shared.release(connection_id)
             raise RequestIdError(f"request {connection_id} may have been executed already")
@@ -103,6 +103,10 @@
         self._shared = None
         shared.remove()
 
+    def _is_executed(self, connection_id: str) -> bool:
+        with self._lock:
+            return connection_id in self._executed
+
     def _known(self) -> list[str]:
         with self._lock:
             return list(self._executed)
--- a/tests/node/program.py
+++ b/tests/node/program.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -75,6 +76,12 @@
             process.kill()  # so that a failing test does not wait until the program exits
 
 
+def stop_process(process: subprocess.Popen[bytes]) -> None:
+    """Stop a process by SIGSTOP, and wait until all threads have stopped: one may still accept a client."""
+    process.send_signal(signal.SIGSTOP)
+    os.waitid(os.P_PID, process.pid, os.WSTOPPED)
+
+
 @contextmanager
 def program_started_again(tmp_path: Path, port: int, **environment: str) -> Iterator[subprocess.Popen[bytes]]:
     """Run the program with the configuration that `running_program` wrote, on the same port.
--- a/tests/node/test_request_ids.py
+++ b/tests/node/test_request_ids.py
@@ -20,7 +20,13 @@
 from tansyladder.node.request_ids import RequestIdError, RequestIds
 from tansyladder.node.shared_request_ids import SharedRequestIds
 from tests.node.harness import SETTINGS, Node, Peer, ScriptedServer, read_until_closed, running_node
-from tests.node.program import connect_client, program_started_again, read_log_until, running_program
+from tests.node.program import (
+    connect_client,
+    program_started_again,
+    read_log_until,
+    running_program,
+    stop_process,
+)
 
 CLASS: dict[str, Any] = SETTINGS["classes"][0]
 EFFECTS = ("read_like", "idempotency_key", "non_idempotent")
@@ -124,7 +130,7 @@
         read_log_until(old, b"event=listener_handover step=successor_serving")
         for accepting, stopped, connection_id in ((old, new, "c1"), (new, old, "c2")):
             host.may_answer.clear()
-            stopped.send_signal(signal.SIGSTOP)
+            stop_process(stopped)
             first = connect_client(port, connection_id=connection_id)
             host.wait_for_line(connection_id)
             if has_left:
@@ -133,7 +139,7 @@
                 first.close()
                 wait_until_released(tmp_path, port, connection_id)
             stopped.send_signal(signal.SIGCONT)
-            accepting.send_signal(signal.SIGSTOP)
+            stop_process(accepting)
             second = connect_client(port, connection_id=connection_id)
             if has_left and effect == "read_like":
                 assert second.read_line() == "UP r1"
