Load the shared request ids only when a second process starts

Need: a start imports nothing that it does not use; a node is upgraded rarely.

Result: tests/node/test_request_ids.py and the layers pass (44).

--- a/tansyladder/node/request_ids.py
+++ b/tansyladder/node/request_ids.py
@@ -10,9 +10,12 @@
 import threading
 from collections.abc import Callable, Collection, Iterable
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from tansyladder.net.errors import NetworkError
-from tansyladder.node.shared_request_ids import SharedRequestIds
+
+if TYPE_CHECKING:  # imported when a second process of the node starts
+    from tansyladder.node.shared_request_ids import SharedRequestIds
 
 MAX_EXECUTED_IDS = 1 << 14  # the oldest are forgotten; 16,384 ids take about 2 MB
 
@@ -79,6 +82,9 @@
         """
         if self._shared is not None:
             return
+        # Imported here, because a node that is not being upgraded does not need it.
+        from tansyladder.node.shared_request_ids import SharedRequestIds  # noqa: PLC0415
+
         shared = SharedRequestIds(folder, process_name)
         self._shared = shared  # first: an id that is claimed from now on is shared by its claim
         newly_shared = [connection_id for connection_id in self._open_ids() if shared.claim(connection_id)]
